--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3
 BIN := .venv/bin
-PACKAGES := $(sort $(wildcard packages/*/pyproject.toml))
+PACKAGES := $(sort $(wildcard packages/*/pyproject.toml)) platform/pyproject.toml
 ARGS ?=
 
 .PHONY: setup demo test bench-marks lint format scenarios docs soak clean
--- a/packages/cornelspan-agent/src/cornelspan_agent/admission.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/admission.py
@@ -13,7 +13,7 @@
 from cornelspan_agent.outcomes import Outcome, Reason, Refusal
 from cornelspan_agent.queue import Place, RequestQueue, Ticket
 from cornelspan_agent.servicetimes import ServiceTimes
-from cornelspan_platform.profiles import RequestPolicy
+from cornelspan_control.profiles import RequestPolicy
 
 LEAST_RETRY_AFTER = 1.0
 QUEUE_BYTES = 33554432
--- a/packages/cornelspan-agent/src/cornelspan_agent/daemon.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/daemon.py
@@ -24,10 +24,10 @@
 from cornelspan_common.streams import PROTOCOL, Peer, PeerServer, batches, serve_peers
 from cornelspan_common.tasks import Tasks, task_group
 from cornelspan_common.tls import PLAIN, Tls, reload_tls
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.control_plane import Control, control_plane
-from cornelspan_platform.members import Members
-from cornelspan_platform.profiles import Profile
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.control_plane import Control, control_plane
+from cornelspan_control.members import Members
+from cornelspan_control.profiles import Profile
 
 DEFAULT_PROFILE = Profile(name="default")
 
--- a/packages/cornelspan-agent/src/cornelspan_agent/dispatch.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/dispatch.py
@@ -29,7 +29,7 @@
 )
 from cornelspan_agent.retries import Draw, RetryBudget, is_repeatable, pause_before
 from cornelspan_common.packets import Message
-from cornelspan_platform.profiles import Profile
+from cornelspan_control.profiles import Profile
 
 MOST_MOVES = 2
 UNSEEN_SECONDS = 0.01
--- a/packages/cornelspan-agent/src/cornelspan_agent/ejection.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/ejection.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from statistics import median
 
-from cornelspan_platform.profiles import EjectionPolicy
+from cornelspan_control.profiles import EjectionPolicy
 
 LONGEST_DOUBLING = 5
 FORGIVEN_SECONDS = 300.0
--- a/packages/cornelspan-agent/src/cornelspan_agent/endpoint.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/endpoint.py
@@ -24,7 +24,7 @@
 from cornelspan_common.logs import get_log
 from cornelspan_common.ownership import Load
 from cornelspan_common.settings import Address
-from cornelspan_platform.profiles import Profile
+from cornelspan_control.profiles import Profile
 
 SERVER_ERROR = 500
 LEAST_MEASURED = 20
--- a/packages/cornelspan-agent/src/cornelspan_agent/gateway.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/gateway.py
@@ -54,9 +54,9 @@
 )
 from cornelspan_common.settings import AgentSettings
 from cornelspan_common.tasks import Tasks, task_group
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
-from cornelspan_platform.profiles import Profile
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
+from cornelspan_control.profiles import Profile
 
 __all__ = ["Gateway", "Peers", "gateway"]
 
--- a/packages/cornelspan-agent/src/cornelspan_agent/objectives.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/objectives.py
@@ -16,7 +16,7 @@
     Minute,
     ServiceCounts,
 )
-from cornelspan_platform.profiles import Objective
+from cornelspan_control.profiles import Objective
 
 HISTOGRAM_SECONDS = 3600
 HIGHEST_MICROSECONDS = 120_000_000
--- a/packages/cornelspan-agent/src/cornelspan_agent/peers.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/peers.py
@@ -10,8 +10,8 @@
 from cornelspan_common.hashing import name_seed, score
 from cornelspan_common.ownership import Claim, Handoff
 from cornelspan_common.packets import Message
-from cornelspan_platform.members import Members
-from cornelspan_platform.ranking import Ranking
+from cornelspan_control.members import Members
+from cornelspan_control.ranking import Ranking
 
 SETTLE_SECONDS = 15.0
 ASK_SECONDS = 0.5
--- a/packages/cornelspan-agent/src/cornelspan_agent/reporting.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/reporting.py
@@ -5,7 +5,7 @@
 
 from cornelspan_agent.objectives import ObjectiveCounts
 from cornelspan_common.settings import AgentSettings
-from cornelspan_platform.plane import Plane
+from cornelspan_control.plane import Plane
 
 REPORT_SECONDS = 15.0
 
--- a/packages/cornelspan-agent/src/cornelspan_agent/retries.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/retries.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from cornelspan_agent.outcomes import Outcome, Refusal
-from cornelspan_platform.profiles import RetryPolicy
+from cornelspan_control.profiles import RetryPolicy
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 BUDGET_SECONDS = 10.0
--- a/packages/cornelspan-agent/src/cornelspan_agent/router.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/router.py
@@ -27,8 +27,8 @@
 from cornelspan_common.settings import AgentSettings
 from cornelspan_common.streams import Peer
 from cornelspan_common.tasks import Tasks
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
 
 IDLE_SECONDS = 600.0
 LOOK_SECONDS = 0.02
--- a/packages/cornelspan-balancer/src/cornelspan_balancer/daemon.py
+++ b/packages/cornelspan-balancer/src/cornelspan_balancer/daemon.py
@@ -18,9 +18,9 @@
 from cornelspan_common.streams import PROTOCOL, Peer, PeerServer, batches, serve_peers
 from cornelspan_common.tasks import Tasks, task_group
 from cornelspan_common.tls import PLAIN, Tls, reload_tls
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.control_plane import Control, control_plane
-from cornelspan_platform.members import Members
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.control_plane import Control, control_plane
+from cornelspan_control.members import Members
 
 LEAVE_SECONDS = 0.5
 SETTLE_SECONDS = 1.0
--- a/packages/cornelspan-balancer/src/cornelspan_balancer/forwarding.py
+++ b/packages/cornelspan-balancer/src/cornelspan_balancer/forwarding.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from cornelspan_balancer.learned import Learned
+from cornelspan_common.learned import Learned
 from cornelspan_common.links import Links
 from cornelspan_common.packets import Hint, Packet, Routed
 from cornelspan_common.streams import Peer
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
-from cornelspan_platform.ranking import Candidates, Ranking
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
+from cornelspan_control.ranking import Candidates, Ranking
 
 ROUTES = 65_536
 
--- a/packages/cornelspan-balancer/src/cornelspan_balancer/service_levels.py
+++ b/packages/cornelspan-balancer/src/cornelspan_balancer/service_levels.py
@@ -14,12 +14,12 @@
 from cornelspan_common.logs import get_log
 from cornelspan_common.metrics import Labelled
 from cornelspan_common.service_levels import MINUTE_SECONDS, Sealed, ServiceCounts
-from cornelspan_platform.burn import Burn, Series, burn_of, merge_series
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.plane import Plane
-from cornelspan_platform.profiles import Objective
-from cornelspan_platform.store import StoreClient
-from cornelspan_platform.summaries import Collector
+from cornelspan_control.burn import Burn, Series, burn_of, merge_series
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.plane import Plane
+from cornelspan_control.profiles import Objective
+from cornelspan_control.store import StoreClient
+from cornelspan_control.summaries import Collector
 
 CHECK_SECONDS = 15.0
 
--- a/packages/cornelspan-cli/src/cornelspan_cli/_client.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/_client.py
@@ -14,10 +14,10 @@
 from cornelspan_cli._output import Exit, fail, show_json
 from cornelspan_common.settings import ClientSettings, load_settings
 from cornelspan_common.tls import Tls, open_tls
-from cornelspan_platform.asking import ask_fleet
-from cornelspan_platform.changes import Change, accept
-from cornelspan_platform.records import Accepted
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.asking import ask_fleet
+from cornelspan_control.changes import Change, accept
+from cornelspan_control.records import Accepted
+from cornelspan_control.store import StoreClient
 
 DEFAULT_SETTINGS = "cornelspan.json"
 WAIT_STEP_SECONDS = 0.5
--- a/packages/cornelspan-cli/src/cornelspan_cli/_fields.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/_fields.py
@@ -7,9 +7,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cornelspan_platform.changes import Invalid
-from cornelspan_platform.profiles import Profile
-from cornelspan_platform.records import Version
+from cornelspan_control.changes import Invalid
+from cornelspan_control.profiles import Profile
+from cornelspan_control.records import Version
 
 
 def set_fields(profile: Profile, fields: list[str]) -> Result[Profile, Invalid]:
--- a/packages/cornelspan-cli/src/cornelspan_cli/_output.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/_output.py
@@ -10,7 +10,7 @@
 from rich.table import Table
 
 from cornelspan_common.errors import SettingsError
-from cornelspan_platform.changes import (
+from cornelspan_control.changes import (
     Conflict,
     Invalid,
     NotFound,
--- a/packages/cornelspan-cli/src/cornelspan_cli/check.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/check.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from cornelspan_cli._output import Exit, fail, show_json
-from cornelspan_platform.changes import Invalid
-from cornelspan_platform.profiles import Profile, Service
+from cornelspan_control.changes import Invalid
+from cornelspan_control.profiles import Profile, Service
 
 
 @cappa.command(name="check", help="Validate a JSON file of a profile or service.")
--- a/packages/cornelspan-cli/src/cornelspan_cli/profiles.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/profiles.py
@@ -17,10 +17,10 @@
     set_fields,
 )
 from cornelspan_cli._output import Exit, fail, show_json, show_table
-from cornelspan_platform.changes import Invalid, NotFound, new_change
-from cornelspan_platform.profiles import Profile
-from cornelspan_platform.reading import Seen, history, read_snapshot, see
-from cornelspan_platform.records import Version, read_version
+from cornelspan_control.changes import Invalid, NotFound, new_change
+from cornelspan_control.profiles import Profile
+from cornelspan_control.reading import Seen, history, read_snapshot, see
+from cornelspan_control.records import Version, read_version
 
 HISTORY_LIMIT = 50
 Name = Annotated[str, cappa.Arg(help="Name of the profile.")]
--- a/packages/cornelspan-cli/src/cornelspan_cli/report.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/report.py
@@ -17,16 +17,16 @@
 from cornelspan_common.logs import get_log, start_logging
 from cornelspan_common.service_levels import MINUTE_SECONDS
 from cornelspan_common.settings import LogSettings
-from cornelspan_platform.burn import WINDOWS
-from cornelspan_platform.reading import read_snapshot
-from cornelspan_platform.reports import Report, ServiceReport, build_report
-from cornelspan_platform.store import (
-    StoreClient,
-)
-from cornelspan_platform.store_errors import (
+from cornelspan_common.store_errors import (
     StoreError,
 )
-from cornelspan_platform.summaries import read_summaries
+from cornelspan_control.burn import WINDOWS
+from cornelspan_control.reading import read_snapshot
+from cornelspan_control.reports import Report, ServiceReport, build_report
+from cornelspan_control.store import (
+    StoreClient,
+)
+from cornelspan_control.summaries import read_summaries
 
 LEAST_SHOWN = -9.99
 COLUMNS = (
--- a/packages/cornelspan-cli/src/cornelspan_cli/report_page.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/report_page.py
@@ -8,14 +8,14 @@
 import matplotlib
 from matplotlib.figure import Figure
 
-from cornelspan_platform.burn import (
+from cornelspan_control.burn import (
     RULES,
     WINDOWS,
     Bucket,
     Totals,
     burn_rate,
 )
-from cornelspan_platform.reports import Report, ServiceReport
+from cornelspan_control.reports import Report, ServiceReport
 
 matplotlib.use("Agg")
 
--- a/packages/cornelspan-cli/src/cornelspan_cli/services.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/services.py
@@ -9,9 +9,9 @@
 
 from cornelspan_cli._client import Changing, Common, Session, author_of, make
 from cornelspan_cli._output import Exit, fail, show_json, show_table
-from cornelspan_platform.changes import Invalid, NotFound, new_change
-from cornelspan_platform.profiles import Service
-from cornelspan_platform.reading import Seen, read_snapshot, see
+from cornelspan_control.changes import Invalid, NotFound, new_change
+from cornelspan_control.profiles import Service
+from cornelspan_control.reading import Seen, read_snapshot, see
 
 ServiceName = Annotated[str, cappa.Arg(help="Name of the service.")]
 ProfileName = Annotated[str, cappa.Arg(help="Name of the profile.")]
--- a/packages/cornelspan-cli/src/cornelspan_cli/settings_page.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/settings_page.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cornelspan_common.settings import AgentSettings, BalancerSettings, Checked
-from cornelspan_platform.profiles import Profile, Service
+from cornelspan_control.profiles import Profile, Service
 
 INTRODUCTION = """\
 # Settings
--- a/packages/cornelspan-cli/src/cornelspan_cli/status.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/status.py
@@ -8,8 +8,8 @@
 from cornelspan_cli._client import Common, Session
 from cornelspan_cli._output import Exit, fail, show_json, show_table
 from cornelspan_common.control import MemberStatus
-from cornelspan_platform.asking import FleetStatus, ask_fleet
-from cornelspan_platform.records import read_head
+from cornelspan_control.asking import FleetStatus, ask_fleet
+from cornelspan_control.records import read_head
 
 COLUMNS = ("name", "role", "data centre", "service", "state", "revision", "behind")
 
--- a/packages/cornelspan-common/src/cornelspan_common/logs.py
+++ b/packages/cornelspan-common/src/cornelspan_common/logs.py
@@ -8,6 +8,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -22,14 +23,17 @@
     return logging.getLogger(name)
 
 
-def start_logging(settings: LogSettings, *, process: str) -> None:
-    """Send all records to standard error as JSON lines.
+def start_logging(
+    settings: LogSettings, *, process: str, stream: TextIO | None = None
+) -> None:
+    """Send all records to a stream as JSON lines.
 
     Args:
         settings: The level to log from.
         process: Name of the process, a field of each line.
+        stream: Where the lines go; None is standard error.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(FIELDS, rename_fields=RENAMED, static_fields={"process": process})
     )
--- a/packages/cornelspan-platform/src/cornelspan_platform/asking.py
+++ b/packages/cornelspan-control/src/cornelspan_control/asking.py
@@ -12,10 +12,10 @@
 from cornelspan_common.packets import Hello
 from cornelspan_common.settings import Address, ClientSettings
 from cornelspan_common.streams import PROTOCOL, batches, open_peer
-from cornelspan_platform.election import elect
-from cornelspan_platform.members import Members
-from cornelspan_platform.roster import MEMBERS, Roster
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.election import elect
+from cornelspan_control.members import Members
+from cornelspan_control.roster import MEMBERS, Roster
+from cornelspan_control.store import StoreClient
 
 ANSWER_SECONDS = 3.0
 
--- a/packages/cornelspan-platform/src/cornelspan_platform/burn.py
+++ b/packages/cornelspan-control/src/cornelspan_control/burn.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cornelspan_platform.profiles import Objective
+from cornelspan_control.profiles import Objective
 
 HOUR_MINUTES = 60
 DAY_MINUTES = 1440
--- a/packages/cornelspan-platform/src/cornelspan_platform/changes.py
+++ b/packages/cornelspan-control/src/cornelspan_control/changes.py
@@ -20,8 +20,13 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cornelspan_platform.profiles import Profile, Service
-from cornelspan_platform.records import (
+from cornelspan_common.store_errors import (
+    CallRefused,
+    OutcomeUnknown,
+    VersionConflict,
+)
+from cornelspan_control.profiles import Profile, Service
+from cornelspan_control.records import (
     HEAD,
     INDEX,
     KEPT_VERSIONS,
@@ -38,15 +43,10 @@
     read_version,
     version_name,
 )
-from cornelspan_platform.store import (
+from cornelspan_control.store import (
     NO_OBJECT,
     StoreClient,
 )
-from cornelspan_platform.store_errors import (
-    CallRefused,
-    OutcomeUnknown,
-    VersionConflict,
-)
 
 ID_BYTES = 8
 SETTLE_SECONDS = 20.0
--- a/packages/cornelspan-platform/src/cornelspan_platform/configuration.py
+++ b/packages/cornelspan-control/src/cornelspan_control/configuration.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from cornelspan_common.settings import Checked
-from cornelspan_platform.profiles import Profile, Service
+from cornelspan_control.profiles import Profile, Service
 
 
 class Snapshot(Checked, frozen=True, kw_only=True):
--- a/packages/cornelspan-platform/src/cornelspan_platform/control_plane.py
+++ b/packages/cornelspan-control/src/cornelspan_control/control_plane.py
@@ -15,15 +15,15 @@
 from cornelspan_common.settings import DaemonSettings
 from cornelspan_common.streams import Peer
 from cornelspan_common.tasks import task_group
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
-from cornelspan_platform.plane import Listener, Plane
-from cornelspan_platform.relay_links import RelayLinks
-from cornelspan_platform.roster import Publisher, read_rosters
-from cornelspan_platform.store import StoreClient
-from cornelspan_platform.subscribers import beat_to_subscribers, serve_subscriber
-from cornelspan_platform.suspicion import Judge
-from cornelspan_platform.watching import fall_back, watch_store
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
+from cornelspan_control.plane import Listener, Plane
+from cornelspan_control.relay_links import RelayLinks
+from cornelspan_control.roster import Publisher, read_rosters
+from cornelspan_control.store import StoreClient
+from cornelspan_control.subscribers import beat_to_subscribers, serve_subscriber
+from cornelspan_control.suspicion import Judge
+from cornelspan_control.watching import fall_back, watch_store
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cornelspan-platform/src/cornelspan_platform/dispatch.py
+++ b/packages/cornelspan-control/src/cornelspan_control/dispatch.py
@@ -17,9 +17,9 @@
 from cornelspan_common.packets import Message
 from cornelspan_common.service_levels import Sealed, ServiceCounts
 from cornelspan_common.streams import Peer
-from cornelspan_platform.plane import Plane, Subscriber
-from cornelspan_platform.status import status_of
-from cornelspan_platform.suspicion import Judge, witness
+from cornelspan_control.plane import Plane, Subscriber
+from cornelspan_control.status import status_of
+from cornelspan_control.suspicion import Judge, witness
 
 
 def take(plane: Plane, judge: Judge, peer: Peer, message: Message) -> None:
--- a/packages/cornelspan-platform/src/cornelspan_platform/election.py
+++ b/packages/cornelspan-control/src/cornelspan_control/election.py
@@ -9,7 +9,7 @@
 
 from cornelspan_common.control import Announce
 from cornelspan_common.hashing import name_seed, rank
-from cornelspan_platform.members import Members
+from cornelspan_control.members import Members
 
 RELAYS = 2
 
--- a/packages/cornelspan-platform/src/cornelspan_platform/plane.py
+++ b/packages/cornelspan-control/src/cornelspan_control/plane.py
@@ -21,11 +21,11 @@
 from cornelspan_common.settings import DaemonSettings
 from cornelspan_common.streams import Peer
 from cornelspan_common.tasks import Tasks
-from cornelspan_platform.configuration import Configuration, Delta, Snapshot
-from cornelspan_platform.election import elect
-from cornelspan_platform.members import Members
-from cornelspan_platform.revisions import decode, encode
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.configuration import Configuration, Delta, Snapshot
+from cornelspan_control.election import elect
+from cornelspan_control.members import Members
+from cornelspan_control.revisions import decode, encode
+from cornelspan_control.store import StoreClient
 
 KEPT_DELTAS = 64
 
--- a/packages/cornelspan-platform/src/cornelspan_platform/ranking.py
+++ b/packages/cornelspan-control/src/cornelspan_control/ranking.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from cornelspan_common.hashing import name_seed, rank
-from cornelspan_platform.members import Members
+from cornelspan_control.members import Members
 
 CANDIDATES = 8
 CACHED_FLOWS = 65_536
--- a/packages/cornelspan-platform/src/cornelspan_platform/reading.py
+++ b/packages/cornelspan-control/src/cornelspan_control/reading.py
@@ -6,8 +6,12 @@
 
 from result import Err, Ok, Result
 
-from cornelspan_platform.configuration import Delta, Snapshot
-from cornelspan_platform.records import (
+from cornelspan_common.store_errors import (
+    ReadError,
+    StoreUnavailable,
+)
+from cornelspan_control.configuration import Delta, Snapshot
+from cornelspan_control.records import (
     Accepted,
     Head,
     Kind,
@@ -16,14 +20,10 @@
     read_index,
     read_version,
 )
-from cornelspan_platform.store import (
+from cornelspan_control.store import (
     NO_OBJECT,
     StoreClient,
 )
-from cornelspan_platform.store_errors import (
-    ReadError,
-    StoreUnavailable,
-)
 
 PARALLEL_READS = 8
 
--- a/packages/cornelspan-platform/src/cornelspan_platform/records.py
+++ b/packages/cornelspan-control/src/cornelspan_control/records.py
@@ -16,16 +16,16 @@
 from result import Err, Ok, Result
 
 from cornelspan_common.settings import Checked
-from cornelspan_platform.profiles import Profile, Service
-from cornelspan_platform.store import (
-    NO_OBJECT,
-    StoreClient,
-)
-from cornelspan_platform.store_errors import (
+from cornelspan_common.store_errors import (
     ObjectMissing,
     ReadError,
     StoreUnavailable,
 )
+from cornelspan_control.profiles import Profile, Service
+from cornelspan_control.store import (
+    NO_OBJECT,
+    StoreClient,
+)
 
 HEAD = "configuration/head"
 INDEX = "configuration/index/"
--- a/packages/cornelspan-platform/src/cornelspan_platform/relay_links.py
+++ b/packages/cornelspan-control/src/cornelspan_control/relay_links.py
@@ -11,9 +11,9 @@
 from cornelspan_common.packets import Message
 from cornelspan_common.settings import Address
 from cornelspan_common.streams import Peer, batches, open_peer
-from cornelspan_platform.dispatch import take
-from cornelspan_platform.plane import Plane
-from cornelspan_platform.suspicion import Judge
+from cornelspan_control.dispatch import take
+from cornelspan_control.plane import Plane
+from cornelspan_control.suspicion import Judge
 
 SILENT_KEPT_SECONDS = 60.0
 MEET_SECONDS = 2.0
--- a/packages/cornelspan-platform/src/cornelspan_platform/reports.py
+++ b/packages/cornelspan-control/src/cornelspan_control/reports.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from cornelspan_platform.burn import (
+from cornelspan_control.burn import (
     Burn,
     Series,
     Totals,
@@ -16,9 +16,9 @@
     merge_series,
     totals_over,
 )
-from cornelspan_platform.configuration import Snapshot
-from cornelspan_platform.profiles import Objective, Profile
-from cornelspan_platform.summaries import (
+from cornelspan_control.configuration import Snapshot
+from cornelspan_control.profiles import Objective, Profile
+from cornelspan_control.summaries import (
     DIGITS,
     HIGHEST_MICROSECONDS,
     Summary,
--- a/packages/cornelspan-platform/src/cornelspan_platform/revisions.py
+++ b/packages/cornelspan-control/src/cornelspan_control/revisions.py
@@ -4,7 +4,7 @@
 
 from cornelspan_common.control import Revision
 from cornelspan_common.logs import get_log
-from cornelspan_platform.configuration import Delta, Snapshot
+from cornelspan_control.configuration import Delta, Snapshot
 
 log = get_log(__name__)
 encoder = msgspec.msgpack.Encoder()
--- a/packages/cornelspan-platform/src/cornelspan_platform/roster.py
+++ b/packages/cornelspan-control/src/cornelspan_control/roster.py
@@ -13,14 +13,14 @@
 from cornelspan_common.control import Announce, Membership
 from cornelspan_common.logs import get_log
 from cornelspan_common.settings import Checked
-from cornelspan_platform.plane import Plane
-from cornelspan_platform.store import (
-    NO_OBJECT,
-)
-from cornelspan_platform.store_errors import (
+from cornelspan_common.store_errors import (
     ObjectMissing,
     VersionConflict,
 )
+from cornelspan_control.plane import Plane
+from cornelspan_control.store import (
+    NO_OBJECT,
+)
 
 MEMBERS = "members/"
 READ_ALL_SECONDS = 60.0
--- a/packages/cornelspan-platform/src/cornelspan_platform/status.py
+++ b/packages/cornelspan-control/src/cornelspan_control/status.py
@@ -3,7 +3,7 @@
 import time
 
 from cornelspan_common.control import MemberStatus, Status
-from cornelspan_platform.plane import Plane
+from cornelspan_control.plane import Plane
 
 STORE_SILENT_SECONDS = 30.0
 NEVER = -1.0
--- a/packages/cornelspan-platform/src/cornelspan_platform/store.py
+++ b/packages/cornelspan-control/src/cornelspan_control/store.py
@@ -11,28 +11,17 @@
         case Err(OutcomeUnknown()): ...
 """
 
-import asyncio
-import ipaddress
-import random
-import socket
 import ssl
-import time
 from dataclasses import dataclass
 from urllib.parse import quote, urlencode
 
 import msgspec
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
-from tornado.netutil import Resolver
-from tornado.simple_httpclient import (
-    HTTPStreamClosedError,
-    HTTPTimeoutError,
-    SimpleAsyncHTTPClient,
-)
+from tornado.httpclient import HTTPResponse
 
+from cornelspan_common.calls import CallBudget, HttpCaller
 from cornelspan_common.settings import StoreSettings
-from cornelspan_common.tls import reason_of
-from cornelspan_platform.store_errors import (
+from cornelspan_common.store_errors import (
     CallRefused,
     ObjectMissing,
     OutcomeUnknown,
@@ -41,11 +30,8 @@
     VersionConflict,
     WriteError,
 )
+from cornelspan_common.tls import reason_of
 
-CONNECTIONS = 16
-BURST_SECONDS = 4.0
-JITTER = 0.5
-BODY_BYTES = 4 * 1024 * 1024
 WATCH_GRACE_SECONDS = 2.0
 NO_OBJECT = 0
 
@@ -73,56 +59,6 @@
     changed: tuple[str, ...]
 
 
-class CallBudget:
-    """Calls that one daemon may make: a token bucket that callers wait for.
-
-    When the store comes back, all daemons want it at once. The wait for a token is
-    stretched by a random factor, so that they spread out rather than beat in step.
-    """
-
-    def __init__(self, calls_per_second: float, *, seed: int | None = None) -> None:
-        self.rate = calls_per_second
-        self.tokens = max(1.0, calls_per_second * BURST_SECONDS)
-        self.burst = self.tokens
-        self.filled = time.monotonic()
-        self.random = random.Random(seed)
-
-    async def take(self, wait_seconds: float) -> bool:
-        """Take a token, waiting for it if need be.
-
-        Returns:
-            False if none comes within the time.
-        """
-        self._fill()
-        self.tokens -= 1
-        if self.tokens >= 0:
-            return True
-        wait = -self.tokens / self.rate * (1 + JITTER * self.random.random())
-        if wait > wait_seconds:
-            self.tokens += 1
-            return False
-        await asyncio.sleep(wait)
-        return True
-
-    def _fill(self) -> None:
-        now = time.monotonic()
-        grown = self.tokens + (now - self.filled) * self.rate
-        self.tokens = min(self.burst, grown)
-        self.filled = now
-
-
-class NumericResolver(Resolver):
-    """Resolver for IP numbers, which needs no thread for each call."""
-
-    async def resolve(
-        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
-    ) -> list[tuple[int, tuple]]:
-        """Return the one socket address that an IP number and port stand for."""
-        if ipaddress.ip_address(host).version == 6:
-            return [(socket.AF_INET6, (host, port, 0, 0))]
-        return [(socket.AF_INET, (host, port))]
-
-
 class StoreClient:
     """Calls to the store within one daemon's budget.
 
@@ -137,26 +73,28 @@
         seed: int | None = None,
     ) -> None:
         self.settings = settings
-        self.tls = tls
         self.budget = CallBudget(settings.calls_per_second, seed=seed)
         self.random = self.budget.random
         scheme = "https" if tls else "http"
-        self.url = f"{scheme}://{settings.address}"
+        self.caller = HttpCaller(
+            f"{scheme}://{settings.address}",
+            self.budget,
+            call_seconds=settings.call_seconds,
+            tls=tls,
+        )
         self.reads = 0
         self.writes = 0
-        self.failures = 0
+        self.lost = 0
         self.received_bytes = 0
-        AsyncHTTPClient.configure(SimpleAsyncHTTPClient)
-        self.http = AsyncHTTPClient(
-            force_instance=True,
-            max_clients=CONNECTIONS,
-            max_buffer_size=BODY_BYTES,
-            resolver=NumericResolver(),
-        )
+
+    @property
+    def failures(self) -> int:
+        """Calls that found no store or whose answer was lost."""
+        return self.lost + self.caller.unreached
 
     def close(self) -> None:
         """End all calls."""
-        self.http.close()
+        self.caller.close()
 
     async def get(self, name: str) -> Result[StoredObject, ReadError]:
         """Read an object. The store may answer with an older value."""
@@ -212,12 +150,12 @@
         self, path: str, name: str, *, seconds: float | None = None
     ) -> Result[HTTPResponse, ReadError]:
         self.reads += 1
-        sent = await self._send(HTTPRequest(self.url + path), seconds=seconds)
+        sent = await self.caller.send("GET", path, seconds=seconds)
         match sent:
             case Err(error) if isinstance(error, CallRefused | StoreUnavailable):
                 return Err(error)
             case Err(lost):
-                self.failures += 1
+                self.lost += 1
                 return Err(StoreUnavailable(reason_of(lost)))
             case Ok(response):
                 pass
@@ -232,53 +170,21 @@
         self, method: str, name: str, value: bytes | None, expected: int | None
     ) -> Result[int, WriteError]:
         self.writes += 1
-        request = HTTPRequest(
-            self.url + self._object_path(name),
-            method=method,
-            body=value,
-            headers=_condition(expected),
-        )
-        match await self._send(request):
+        match await self.caller.send(
+            method, self._object_path(name), body=value, headers=_condition(expected)
+        ):
             case Err(error) if isinstance(error, CallRefused | StoreUnavailable):
                 return Err(error)
             case Err(lost):
-                self.failures += 1
+                self.lost += 1
                 return Err(OutcomeUnknown(name, reason_of(lost)))
             case Ok(response):
                 return _written(response, name)
 
-    async def _send(
-        self, request: HTTPRequest, *, seconds: float | None = None
-    ) -> Result[HTTPResponse, CallRefused | StoreUnavailable | Exception]:
-        """Send one request; an exception as error means that its fate is unknown."""
-        if not await self.budget.take(self.settings.call_seconds):
-            wait = 1 / self.settings.calls_per_second
-            return Err(CallRefused("this process's call budget is spent", wait))
-        request.request_timeout = seconds or self.settings.call_seconds
-        request.connect_timeout = self.settings.call_seconds
-        request.ssl_options = self.tls
-        fetching = self.http.fetch(request, raise_error=False)
-        # Tornado logs an error for a call that is cancelled while it runs, as the watch
-        # is at each orderly stop. So the call itself runs on until the client closes.
-        fetching.add_done_callback(_retrieve)
-        try:
-            return Ok(await asyncio.shield(fetching))
-        except (ConnectionRefusedError, ssl.SSLError) as error:
-            # No connection stood, so nothing can have reached the store.
-            self.failures += 1
-            return Err(StoreUnavailable(reason_of(error)))
-        except (HTTPTimeoutError, HTTPStreamClosedError, OSError) as error:
-            return Err(error)
-
     def _object_path(self, name: str) -> str:
         return "/objects/" + quote(name)
 
 
-def _retrieve(fetching: asyncio.Future[HTTPResponse]) -> None:
-    if not fetching.cancelled():
-        fetching.exception()
-
-
 def _condition(expected: int | None) -> dict[str, str]:
     if expected is None:
         return {}
--- a/packages/cornelspan-platform/src/cornelspan_platform/subscribers.py
+++ b/packages/cornelspan-control/src/cornelspan_control/subscribers.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from cornelspan_common.streams import Peer, batches
-from cornelspan_platform.dispatch import take
-from cornelspan_platform.plane import Plane
-from cornelspan_platform.suspicion import Judge
+from cornelspan_control.dispatch import take
+from cornelspan_control.plane import Plane
+from cornelspan_control.suspicion import Judge
 
 
 async def serve_subscriber(plane: Plane, judge: Judge, peer: Peer) -> None:
--- a/packages/cornelspan-platform/src/cornelspan_platform/summaries.py
+++ b/packages/cornelspan-control/src/cornelspan_control/summaries.py
@@ -21,16 +21,16 @@
 from result import Err, Ok, Result
 
 from cornelspan_common.service_levels import KEPT_MINUTES, Minute, ServiceCounts
-from cornelspan_platform.burn import Series, add_minute
-from cornelspan_platform.store import (
-    NO_OBJECT,
-    StoreClient,
-)
-from cornelspan_platform.store_errors import (
+from cornelspan_common.store_errors import (
     ObjectMissing,
     StoreError,
     StoreUnavailable,
 )
+from cornelspan_control.burn import Series, add_minute
+from cornelspan_control.store import (
+    NO_OBJECT,
+    StoreClient,
+)
 
 PREFIX = "service-levels/"
 SEALED_KEPT_MINUTES = KEPT_MINUTES + 60
--- a/packages/cornelspan-platform/src/cornelspan_platform/suspicion.py
+++ b/packages/cornelspan-control/src/cornelspan_control/suspicion.py
@@ -16,7 +16,7 @@
 from cornelspan_common.logs import get_log
 from cornelspan_common.settings import Address
 from cornelspan_common.streams import Peer, open_peer
-from cornelspan_platform.plane import Plane
+from cornelspan_control.plane import Plane
 
 PARALLEL_JUDGEMENTS = 16
 
--- a/packages/cornelspan-platform/src/cornelspan_platform/watching.py
+++ b/packages/cornelspan-control/src/cornelspan_control/watching.py
@@ -7,9 +7,9 @@
 from result import Err, Ok
 
 from cornelspan_common.logs import get_log
-from cornelspan_platform.plane import Plane
-from cornelspan_platform.reading import read_newer
-from cornelspan_platform.records import HEAD
+from cornelspan_control.plane import Plane
+from cornelspan_control.reading import read_newer
+from cornelspan_control.records import HEAD
 
 STALE_READS = 5
 STALE_PAUSE_SECONDS = 0.1
--- a/packages/cornelspan-daemon/src/cornelspan_daemon/running.py
+++ b/packages/cornelspan-daemon/src/cornelspan_daemon/running.py
@@ -11,8 +11,8 @@
 from cornelspan_common.metrics import Metrics, metrics_endpoint
 from cornelspan_common.settings import AgentSettings, BalancerSettings
 from cornelspan_common.tls import Tls
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/__init__.py
@@ -0,0 +1,1 @@
+"""Pass-through flows: packets between ends that do their own handshake and repeats."""
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -0,0 +1,433 @@
+"""The pass-through balancer: sends clients' packets to the agents of their flows.
+
+It keeps no flow that it could not lose. First packets go to an endpoint that it
+chooses, later ones to the owner it has learned, and packets of flows it doesn't know to
+whoever records or holds the flow.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from ipaddress import IPv4Address
+
+import msgspec
+
+from cornelspan_common.learned import Learned
+from cornelspan_common.logs import get_log
+from cornelspan_passthrough import hops
+from cornelspan_passthrough.configuration import (
+    Route,
+    RouteTable,
+    services_in_order,
+)
+from cornelspan_passthrough.datagrams import DatagramSocket
+from cornelspan_passthrough.finding import Search, Searches
+from cornelspan_passthrough.heads import (
+    RST,
+    SYN,
+    Head,
+    PacketCodec,
+    address_text,
+    client_address,
+    flow_text,
+)
+from cornelspan_passthrough.homes import Homes
+from cornelspan_passthrough.members import AGENT, BALANCER, Member, Members, service_tag
+from cornelspan_passthrough.openings import Opening, Openings
+from cornelspan_passthrough.placing import Candidate, choose, takes_flows
+from cornelspan_passthrough.pulses import Hello, Ping, Pong, Pulses
+from cornelspan_passthrough.settings import BalancerSettings, socket_address
+
+# A first packet that this many endpoints have turned away is answered by a reset: the
+# client then tries again with a new flow, while a further endpoint would be asked after
+# the client's own repeat.
+OPEN_TRIES = 4
+NEVER_OPEN = 0
+
+log = get_log(__name__)
+
+
+@dataclass
+class Balancer:
+    """State and decisions of one balancer; its sockets are set when it runs."""
+
+    settings: BalancerSettings
+    codec: PacketCodec
+    clients: DatagramSocket
+    daemons: DatagramSocket
+    chance: random.Random
+    routes: RouteTable = field(default_factory=RouteTable)
+    members: Members = field(default_factory=Members)
+    homes: Homes = field(default_factory=Homes)
+    openings: Openings = field(default_factory=Openings)
+    searches: Searches = field(default_factory=Searches)
+    counts: Counter[str] = field(default_factory=Counter)
+    by_service: dict[str, list[str]] = field(default_factory=dict)
+    newest_version: int = 0
+    newest_peer: str = ""
+    stopping: bool = False
+    client_packets: int = 0
+    pings: int = 0
+
+    def __post_init__(self) -> None:
+        self.owners = Learned(self.settings.learned_flows)
+        self.pulses = Pulses(self.settings.pulse.missed_pings)
+        self.client_port = socket_address(self.settings.packets)[1]
+
+    # Packets of clients
+
+    def from_client(self, data: bytes, now: float) -> None:
+        """Take a packet that a router has handed to this balancer."""
+        self.client_packets += 1
+        head = self.codec.read_client(data)
+        if head is None:
+            self.counts["broken_packets"] += 1
+            return
+        if head.flags & SYN:
+            self._open(head, data, now)
+            return
+        owner = self.owners.owner(head.flow)
+        if owner:
+            self._send(owner, hops.encode_packet(hops.DELIVER, data))
+            return
+        self._find(head, data, now)
+
+    def _open(self, head: Head, data: bytes, now: float) -> None:
+        if self.routes.configuration is None:
+            self.counts["opens_without_configuration"] += 1
+            return
+        route = self.routes.route(head.flow)
+        if route is None:
+            self._refuse(head.flow, "no route")
+            return
+        opening = self.openings.get(head.flow, head.sequence, now)
+        if opening is None:
+            opening = self.openings.start(head.flow, head.sequence, now)
+        elif opening.confirmed:
+            self._offer(opening.owner, route, head.flow, data)
+            return
+        # A repeat of a first packet that nobody has answered yet: the endpoint it went
+        # to may be gone. At another one it opens at once, and only the endpoint whose
+        # answer the client takes up has the flow.
+        self._place(opening, route, head.flow, data, now)
+
+    def _place(
+        self, opening: Opening, route: Route, flow: int, data: bytes, now: float
+    ) -> None:
+        """Offer a first packet to the endpoint that would serve it soonest."""
+        service, owner = self._choose(route, flow, opening.refused | {opening.owner})
+        if not owner and opening.owner and opening.owner not in opening.refused:
+            service, owner = self._choose(route, flow, opening.refused)
+        if not owner:
+            refusals = len(opening.refused)
+            reason = "all endpoints turned it away" if refusals else "no endpoint"
+            self._refuse(flow, reason, route=route.name, refusals=refusals)
+            return
+        opening.owner = owner
+        self.owners.learn(flow, owner)
+        pulse = self.pulses.of(owner)
+        log.info(
+            "flow placed",
+            extra={
+                "flow": flow_text(flow),
+                "service": service,
+                "agent": owner,
+                "refusals": len(opening.refused),
+                "version": self.routes.version,
+                "running": pulse.pong.running if pulse.pong else None,
+                "placed": pulse.placed,
+                "age_ms": round((now - pulse.answered_at) * 1000) if pulse.pong else -1,
+            },
+        )
+        pulse.placed += 1
+        self.counts["flows_placed"] += 1
+        self._offer(owner, route, flow, data, service=service)
+
+    def _choose(self, route: Route, flow: int, tried: set[str]) -> tuple[str, str]:
+        """Return service and agent for a flow, "" for none.
+
+        Agents that don't answer come last, not never: with all of them silent it may be
+        this balancer that heard nothing.
+        """
+        for is_wanted in (self.pulses.is_answering, lambda address: True):
+            for service in services_in_order(route, flow):
+                addresses = self.by_service.get(service, [])
+                candidates = [
+                    Candidate(address, self.pulses.of(address))
+                    for address in addresses
+                    if address not in tried and is_wanted(address)
+                ]
+                owner = choose(candidates, self.chance)
+                if owner:
+                    return service, owner
+        return "", ""
+
+    def _offer(
+        self, owner: str, route: Route, flow: int, data: bytes, service: str = ""
+    ) -> None:
+        member = self.members.get(owner)
+        tag = service_tag(service or (member.service if member else ""))
+        homes = [int(IPv4Address(home)) for home in self.homes.of(flow)]
+        first, second = (*homes, hops.NOBODY, hops.NOBODY)[:2]
+        priority = min(255, route.priority)
+        hop = hops.Open(priority, tag, (first, second), data)
+        self._send(owner, hops.encode_open(hop))
+
+    def _refuse(self, flow: int, reason: str, **inputs: str | int) -> None:
+        """Reset a flow that surely is not open."""
+        extra = {"flow": flow_text(flow), "reason": reason, **inputs}
+        log.info("flow refused", extra={**extra, "version": self.routes.version})
+        self.counts["flows_refused"] += 1
+        self.reset(flow, NEVER_OPEN)
+
+    def reset(self, flow: int, sequence: int) -> None:
+        """Send a client the packet that ends its flow."""
+        packet = self.codec.reset(flow, sequence)
+        self.clients.send(packet, (client_address(flow), self.client_port))
+
+    # Owners that this balancer doesn't know
+
+    def _find(self, head: Head, data: bytes, now: float) -> None:
+        search = self.searches.get(head.flow)
+        if search is not None:
+            search.keep(data)
+            return
+        if head.flags & RST:
+            self.counts["strays"] += 1
+            return
+        homes = list(self.homes.of(head.flow))
+        search = Search(data, head.acknowledged, now, homes)
+        self.searches.start(head.flow, search)
+        self.counts["searches"] += 1
+        self._ask_next(head.flow, search, now)
+
+    def _ask_next(self, flow: int, search: Search, now: float) -> None:
+        """Ask the flow's next home that answers, or all agents after the last."""
+        search.asked_at = now
+        while search.homes:
+            home = search.homes.pop(0)
+            if self.pulses.is_answering(home):
+                self._send(home, hops.encode_packet(hops.FIND, search.packet))
+                return
+        agents = [member.address for member in self.members.agents()]
+        search.asked = frozenset(agents)
+        log.info(
+            "owner asked of all",
+            extra={"flow": flow_text(flow), "agents": len(agents)},
+        )
+        for address in agents:
+            self._send(address, hops.encode_packet(hops.ASK, search.packet))
+
+    def _found(self, flow: int, owner: str) -> None:
+        """Send what has waited to the owner; the question's packet is there already."""
+        self.owners.learn(flow, owner)
+        search = self.searches.end(flow)
+        if search is None:
+            return
+        for packet in search.waiting:
+            self._send(owner, hops.encode_packet(hops.DELIVER, packet))
+
+    def _without(self, flow: int, agent: str, packet: bytes, now: float) -> None:
+        """Take in that an agent's endpoint doesn't hold a flow."""
+        search = self.searches.get(flow)
+        if search is None:
+            self._lost_owner(flow, agent, packet, now)
+            return
+        search.without.add(agent)
+        if search.is_exhausted:
+            self._end_dead_flow(flow, search)
+
+    def _lost_owner(self, flow: int, agent: str, packet: bytes, now: float) -> None:
+        """Search anew for the owner of a flow that is not where it was thought."""
+        if self.owners.owner(flow) != agent:
+            return
+        self.owners.learn(flow, "")
+        head = self.codec.read_client(packet)
+        if head is None or head.flags & SYN:
+            return
+        log.info("owner lost", extra={"flow": flow_text(flow), "agent": agent})
+        self._find(head, packet, now)
+
+    def _end_dead_flow(self, flow: int, search: Search) -> None:
+        """Reset a flow that no endpoint holds.
+
+        Its client would repeat packets until its time budget ends. Each agent has said
+        so itself, and a member that has not blocks this, so no living flow is met.
+        """
+        self.searches.end(flow)
+        extra = {"flow": flow_text(flow), "agents": len(search.asked)}
+        log.info("flow dead, reset", extra=extra)
+        self.counts["dead_flows"] += 1
+        self.reset(flow, search.acknowledged)
+
+    # Datagrams of daemons
+
+    def from_daemon(self, data: bytes, sender: str, now: float) -> None:
+        """Take a datagram of another daemon."""
+        kind = data[0] if data else 0
+        if kind == hops.PONG:
+            self._pong(data, now)
+        elif kind == hops.PING:
+            self._ping(data)
+        elif kind in (hops.REFUSED, hops.NOT_HERE, hops.OWNED, hops.UNKNOWN):
+            note = hops.decode_note(data)
+            if note is None:
+                self.counts["broken_datagrams"] += 1
+                return
+            self._note(note, sender, now)
+        elif kind == hops.HELLO:
+            self._hello(data, sender)
+        elif kind == hops.GONE:
+            self._gone(sender)
+        else:
+            self.counts["broken_datagrams"] += 1
+
+    def _note(self, note: hops.FlowNote, sender: str, now: float) -> None:
+        if note.kind == hops.OWNED:
+            owner = address_text(note.agent)
+            self.openings.confirm(note.flow, owner)
+            self._found(note.flow, owner)
+        elif note.kind == hops.UNKNOWN:
+            search = self.searches.get(note.flow)
+            if search is not None and not search.asked:
+                self._ask_next(note.flow, search, now)
+        elif note.kind == hops.NOT_HERE:
+            self._without(note.flow, sender, note.packet, now)
+        else:
+            self._refused(note, sender, now)
+
+    def _refused(self, note: hops.FlowNote, sender: str, now: float) -> None:
+        """Place a first packet anew that an endpoint has turned away."""
+        head = self.codec.read_client(note.packet)
+        if head is None:
+            return
+        log.info(
+            "flow turned away",
+            extra={
+                "flow": flow_text(note.flow),
+                "agent": sender,
+                "reason": hops.REASONS.get(note.detail, "unknown"),
+            },
+        )
+        self.counts["flows_turned_away"] += 1
+        opening = self.openings.get(note.flow, head.sequence, now)
+        route = self.routes.route(note.flow)
+        if opening is None or route is None or opening.owner != sender:
+            return
+        opening.refused.add(sender)
+        if len(opening.refused) >= OPEN_TRIES:
+            self._refuse(note.flow, "turned away", refusals=len(opening.refused))
+            return
+        self._place(opening, route, note.flow, note.packet, now)
+
+    def _pong(self, data: bytes, now: float) -> None:
+        try:
+            pong = msgspec.msgpack.decode(data[1:], type=Pong)
+        except msgspec.DecodeError:
+            self.counts["broken_datagrams"] += 1
+            return
+        if self.members.get(pong.address) is None:
+            # The last answer of an agent that has left: taken in, it would be listed
+            # again for good.
+            return
+        was = self.pulses.of(pong.address).pong
+        if self.pulses.answered(pong, now):
+            log.info("agent regained", extra={"agent": pong.address})
+        if was is None or was.state != pong.state:
+            extra = {"agent": pong.address, "state": pong.state}
+            log.info("agent's endpoint changed", extra=extra)
+        member = Member(pong.address, AGENT, pong.datacentre, pong.service)
+        if self.members.tell(member):
+            self.members_changed()
+
+    def _ping(self, data: bytes) -> None:
+        """Take another balancer's ping: it tells the newest version it knows."""
+        try:
+            ping = msgspec.msgpack.decode(data[1:], type=Ping)
+        except msgspec.DecodeError:
+            self.counts["broken_datagrams"] += 1
+            return
+        if ping.version > self.newest_version:
+            self.newest_version = ping.version
+            self.newest_peer = ping.address
+        if self.members.get(ping.address) is None:
+            member = Member(ping.address, BALANCER, "", "")
+            self.members.tell(member)
+
+    def _hello(self, data: bytes, sender: str) -> None:
+        try:
+            hello = msgspec.msgpack.decode(data[1:], type=Hello)
+        except msgspec.DecodeError:
+            self.counts["broken_datagrams"] += 1
+            return
+        member = Member(hello.address, hello.role, hello.datacentre, hello.service)
+        if not self.members.tell(member):
+            return
+        log.info("daemon spoke up", extra={"address": hello.address})
+        self.members_changed()
+        if sender != hello.address:
+            return
+        for balancer in self.members.balancers():
+            if balancer.address not in (self.settings.address, sender):
+                self._send(balancer.address, data)
+
+    def _gone(self, sender: str) -> None:
+        """An agent stops in order: nothing new goes to it from now on."""
+        pulse = self.pulses.of(sender)
+        pulse.unanswered = self.settings.pulse.missed_pings + 1
+        log.info("agent stops", extra={"agent": sender})
+
+    # Membership and state
+
+    def members_changed(self) -> None:
+        """Work out anew what follows from the members."""
+        agents = self.members.agents()
+        self.homes.replace([member.address for member in agents])
+        self.by_service = {}
+        for member in agents:
+            self.by_service.setdefault(member.service, []).append(member.address)
+
+    def ping_agent(self, address: str) -> None:
+        """Ask an agent how it is."""
+        if self.pulses.of(address).unanswered == self.settings.pulse.missed_pings:
+            log.info("agent lost", extra={"agent": address})
+        self.pulses.asked(address)
+        self.ping(address)
+
+    def ping(self, address: str) -> None:
+        """Tell a daemon that this one lives, and ask it to answer."""
+        self.pings += 1
+        ping = Ping(
+            self.pings,
+            self.settings.address,
+            max(self.routes.version, 0),
+            self.members.revision,
+            address in self.members.listed or not self.members.revision,
+        )
+        self._send(address, bytes((hops.PING,)) + msgspec.msgpack.encode(ping))
+
+    def is_ready(self) -> bool:
+        """Whether routers may send packets here.
+
+        Without a configuration or an endpoint that may take flows, every flow sent here
+        would be refused while another balancer could serve it.
+        """
+        if self.stopping or self.routes.configuration is None:
+            return False
+        return any(
+            self.pulses.is_answering(member.address)
+            and takes_flows(self.pulses.of(member.address))
+            for member in self.members.agents()
+        )
+
+    def tick(self, now: float) -> None:
+        """Go on with searches that wait for a home, and forget what is too old."""
+        for flow in self.searches.overdue(now):
+            search = self.searches.get(flow)
+            if search is not None:
+                self._ask_next(flow, search, now)
+        self.searches.sweep(now)
+        self.openings.sweep(now)
+
+    def _send(self, address: str, data: bytes) -> None:
+        self.daemons.send(data, (address, self.settings.internal_port))
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/configuration.py
@@ -0,0 +1,88 @@
+"""The operators' configuration, as a balancer uses it."""
+
+import bisect
+from itertools import accumulate
+
+import msgspec
+
+from cornelspan_common.hashing import flow_key
+from cornelspan_passthrough.heads import route_of
+
+HASH_RANGE = 1 << 64
+
+
+class Share(msgspec.Struct, frozen=True, array_like=True):
+    """A service that a route's new flows go to, and its weight among them."""
+
+    service: str
+    weight: int
+
+
+class Route(msgspec.Struct, frozen=True, array_like=True):
+    """Where new flows of one address and port go.
+
+    ``number`` is the address and port, see ``heads.route_number``. ``priority`` is 0
+    for the highest. ``timeout_milliseconds`` and ``target_milliseconds`` say how long a
+    request may take at most and at best; ``idempotent`` whether it may run again.
+    """
+
+    number: int
+    name: str
+    shares: tuple[Share, ...]
+    priority: int
+    idempotent: bool
+    timeout_milliseconds: int
+    target_milliseconds: int
+
+
+class Configuration(msgspec.Struct, frozen=True, array_like=True):
+    """One accepted configuration in full; a higher version is newer."""
+
+    version: int
+    routes: tuple[Route, ...]
+    idle_milliseconds: int
+
+
+class RouteTable:
+    """The routes in force. It only ever moves to a newer version.
+
+    A late answer of the store, or a peer that is behind, may bring an older one; taken
+    in, it would send flows where the operator has forbidden it.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.by_number: dict[int, Route] = {}
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return self.configuration.version if self.configuration else 0
+
+    def replace(self, configuration: Configuration) -> bool:
+        """Take in a configuration; return False if it is not newer."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        self.by_number = {route.number: route for route in configuration.routes}
+        return True
+
+    def route(self, flow: int) -> Route | None:
+        """Return the route of a flow, None if the configuration has none."""
+        return self.by_number.get(route_of(flow))
+
+
+def services_in_order(route: Route, flow: int) -> list[str]:
+    """Return the services that may take a flow, the one of its share first.
+
+    The share follows from the flow's number alone, so a repeat of the first packet over
+    another balancer goes to the same service. Services of weight 0 take nothing.
+    """
+    shares = [share for share in route.shares if share.weight > 0]
+    if len(shares) < 2:
+        return [share.service for share in shares]
+    ends = list(accumulate(share.weight for share in shares))
+    point = flow_key(str(flow)) * ends[-1] // HASH_RANGE
+    chosen = bisect.bisect_right(ends, point)
+    rest = [share.service for share in shares[:chosen] + shares[chosen + 1 :]]
+    return [shares[chosen].service, *rest]
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/finding.py
@@ -0,0 +1,83 @@
+"""The search for the owner of a flow whose packets reach a balancer that has none.
+
+A balancer asks the flow's homes one after the other, then all agents, each with the
+packet itself. Only when every agent has said that its endpoint does not hold the flow
+is it known to be dead. A single silent agent leaves it open: the flow may live there.
+"""
+
+from dataclasses import dataclass, field
+
+# A home that lives answers within a round trip, a few milliseconds; after this the next
+# is asked. The client's own repeat comes after 200 ms.
+HOME_SECONDS = 0.04
+# A search that found nobody is given up after this; the client's next repeat begins a
+# new one.
+SEARCH_SECONDS = 0.6
+# What a client may have in flight.
+KEPT_PACKETS = 16
+LIMIT = 8192
+
+
+@dataclass(slots=True)
+class Search:
+    """One flow's search.
+
+    ``waiting`` are packets that came after the one the question carried, ``homes`` the
+    homes not asked yet, ``asked`` the agents that were asked when all were, ``without``
+    those that said no.
+    """
+
+    packet: bytes
+    acknowledged: int
+    started_at: float
+    homes: list[str]
+    asked_at: float = 0.0
+    waiting: list[bytes] = field(default_factory=list)
+    asked: frozenset[str] = frozenset()
+    without: set[str] = field(default_factory=set)
+
+    def keep(self, packet: bytes) -> None:
+        """Keep a further packet of the flow until its owner is known."""
+        if len(self.waiting) < KEPT_PACKETS:
+            self.waiting.append(packet)
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether every agent has said that its endpoint doesn't hold the flow."""
+        return bool(self.asked) and self.asked <= self.without
+
+
+@dataclass
+class Searches:
+    """The searches under way, by flow; the oldest is given up beyond the limit."""
+
+    by_flow: dict[int, Search] = field(default_factory=dict)
+
+    def get(self, flow: int) -> Search | None:
+        """Return the search for a flow's owner, None if there is none."""
+        return self.by_flow.get(flow)
+
+    def start(self, flow: int, search: Search) -> None:
+        """Begin a search."""
+        if len(self.by_flow) >= LIMIT:
+            del self.by_flow[next(iter(self.by_flow))]
+        self.by_flow[flow] = search
+
+    def end(self, flow: int) -> Search | None:
+        """End a search and return it."""
+        return self.by_flow.pop(flow, None)
+
+    def overdue(self, now: float) -> list[int]:
+        """Return flows whose home has not answered in time."""
+        return [
+            flow
+            for flow, search in self.by_flow.items()
+            if not search.asked and now - search.asked_at > HOME_SECONDS
+        ]
+
+    def sweep(self, now: float) -> None:
+        """Give up searches that have found nobody."""
+        for flow in list(self.by_flow):
+            if now - self.by_flow[flow].started_at <= SEARCH_SECONDS:
+                return
+            del self.by_flow[flow]
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -0,0 +1,140 @@
+"""The flows that an agent's endpoint holds, as the agent sees them go by."""
+
+from dataclasses import dataclass, field
+
+NO_REQUEST = 0.0
+# The share of a new measure in the endpoint's pace.
+PACE_SHARE = 0.1
+# Late packets of a flow that has ended still go to the endpoint, which answers them.
+ENDED_SECONDS = 10.0
+LIMIT = 200_000
+
+
+@dataclass(slots=True)
+class OwnedFlow:
+    """One flow.
+
+    ``origin`` is the balancer that its first packet came over and ``homes`` the agents
+    that record the owner. ``opened`` says that the endpoint surely holds it, as it has
+    sent more than its answer to the first packet. ``acknowledged`` is what the client
+    has acknowledged last. ``request_at`` is when a request began, ``NO_REQUEST`` for
+    none. Times are of the loop's clock, in seconds.
+    """
+
+    origin: str
+    homes: tuple[int, int]
+    used_at: float
+    started_at: float
+    answered: bool = False
+    opened: bool = False
+    ended: bool = False
+    acknowledged: int = 0
+    request_at: float = NO_REQUEST
+
+
+@dataclass
+class FlowTable:
+    """Flows by number. ``running`` counts those with a request at the endpoint."""
+
+    flow_seconds: float
+    by_flow: dict[int, OwnedFlow] = field(default_factory=dict)
+    running: int = 0
+    pace_seconds: float = 0.0
+
+    def __len__(self) -> int:
+        return len(self.by_flow)
+
+    def get(self, flow: int) -> OwnedFlow | None:
+        """Return a flow, None if it isn't known here."""
+        return self.by_flow.get(flow)
+
+    def start(
+        self, flow: int, origin: str, homes: tuple[int, int], now: float
+    ) -> OwnedFlow:
+        """Begin a flow in place of any older one of its number."""
+        self.remove(flow)
+        if len(self.by_flow) >= LIMIT:
+            self.remove(next(iter(self.by_flow)))
+        owned = OwnedFlow(origin, homes, now, now)
+        self.by_flow[flow] = owned
+        return owned
+
+    def sent(
+        self, owned: OwnedFlow, acknowledged: int, length: int, now: float
+    ) -> None:
+        """Note a packet on its way to the endpoint; data begins a request."""
+        owned.used_at = now
+        owned.acknowledged = acknowledged
+        if length and owned.request_at == NO_REQUEST:
+            owned.request_at = now
+            self.running += 1
+
+    def answered(self, owned: OwnedFlow, length: int, now: float) -> None:
+        """Note a packet of the endpoint after its first; data answers the request."""
+        owned.used_at = now
+        owned.opened = True
+        if length and owned.request_at != NO_REQUEST:
+            took = now - owned.request_at
+            owned.request_at = NO_REQUEST
+            self.running -= 1
+            self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
+
+    def remove(self, flow: int) -> OwnedFlow | None:
+        """Forget a flow and return it."""
+        owned = self.by_flow.pop(flow, None)
+        if owned is not None and owned.request_at != NO_REQUEST:
+            self.running -= 1
+        return owned
+
+    def clear(self) -> list[tuple[int, OwnedFlow]]:
+        """Forget all flows and return them."""
+        flows = list(self.by_flow.items())
+        self.by_flow = {}
+        self.running = 0
+        return flows
+
+    def sweep(self, now: float) -> None:
+        """Forget flows that have ended, or are too old to be spoken of."""
+        for flow, owned in list(self.by_flow.items()):
+            kept = ENDED_SECONDS if owned.ended else self.flow_seconds
+            if now - owned.used_at > kept:
+                self.remove(flow)
+
+
+@dataclass
+class Directory:
+    """Owners that an agent records as home of their flows.
+
+    An entry is of use for as long as its flow may be open. The dictionary keeps the
+    order of recording, so the sweep looks at its first entries only.
+    """
+
+    flow_seconds: float
+    by_flow: dict[int, tuple[int, float]] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return len(self.by_flow)
+
+    def record(self, flow: int, owner: int, now: float) -> None:
+        """Record the owner of a flow."""
+        self.by_flow.pop(flow, None)
+        self.by_flow[flow] = (owner, now)
+        if len(self.by_flow) > LIMIT:
+            del self.by_flow[next(iter(self.by_flow))]
+
+    def owner(self, flow: int) -> int | None:
+        """Return the address of a flow's owner, None if none is recorded."""
+        entry = self.by_flow.get(flow)
+        return entry[0] if entry else None
+
+    def forget(self, flow: int, owner: int) -> None:
+        """Forget an owner that has turned out wrong."""
+        if self.owner(flow) == owner:
+            del self.by_flow[flow]
+
+    def sweep(self, now: float) -> None:
+        """Forget flows that are too old to be open."""
+        for flow in list(self.by_flow):
+            if now - self.by_flow[flow][1] <= self.flow_seconds:
+                return
+            del self.by_flow[flow]
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/heads.py
@@ -0,0 +1,98 @@
+"""The head of a packet, as far as a daemon reads it, and the functions on packets.
+
+A flow's two ends number, acknowledge and repeat its packets themselves. A daemon reads
+heads and carries the bytes on unchanged but for the mark, a field that the system may
+use on the way to an endpoint.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from ipaddress import IPv4Address
+from typing import NamedTuple
+
+SYN = 1
+ACK = 2
+FIN = 4
+RST = 8
+BOUNCED = 16
+
+PORT_BITS = 16
+ADDRESS_BITS = 32
+PORT_MASK = (1 << PORT_BITS) - 1
+ADDRESS_MASK = (1 << ADDRESS_BITS) - 1
+ROUTE_BITS = ADDRESS_BITS + PORT_BITS
+ROUTE_MASK = (1 << ROUTE_BITS) - 1
+
+
+class Head(NamedTuple):
+    """What a packet says of itself.
+
+    ``flow`` is the same number for both directions, see ``flow_number``. ``flags`` are
+    of this module. ``sequence`` and ``acknowledged`` count bytes, ``length`` is the
+    size of the data after the head.
+    """
+
+    flow: int
+    flags: int
+    sequence: int
+    acknowledged: int
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class PacketCodec:
+    """How packets look on the wire, as functions.
+
+    ``read_client`` and ``read_endpoint`` return None for bytes that are no packet. A
+    packet that an endpoint has bounced is read as its client sent it. ``marked``
+    returns a packet with another mark and without the flag of a bounced one, and
+    ``reset`` the packet that ends a flow in the name of its route.
+    """
+
+    read_client: Callable[[bytes], Head | None]
+    read_endpoint: Callable[[bytes], Head | None]
+    marked: Callable[[bytes, int], bytes]
+    reset: Callable[[int, int], bytes]
+
+
+def flow_number(
+    client_address: int, client_port: int, route_address: int, route_port: int
+) -> int:
+    """Return the number of a flow: its four addresses and ports side by side."""
+    client = client_address << PORT_BITS | client_port
+    route = route_address << PORT_BITS | route_port
+    return client << ROUTE_BITS | route
+
+
+def route_of(flow: int) -> int:
+    """Return the number of a flow's route: its address and port."""
+    return flow & ROUTE_MASK
+
+
+def route_number(address: str, port: int) -> int:
+    """Return the number of a route from its address as text and its port."""
+    return int(IPv4Address(address)) << PORT_BITS | port
+
+
+def client_address(flow: int) -> str:
+    """Return the address of a flow's client as text."""
+    return address_text(flow >> (ROUTE_BITS + PORT_BITS))
+
+
+def address_text(address: int) -> str:
+    """Return an address as text."""
+    return f"{address >> 24}.{address >> 16 & 255}.{address >> 8 & 255}.{address & 255}"
+
+
+def flow_text(flow: int) -> str:
+    """Return a flow for the log: client, then route.
+
+    Example: ``100.64.0.7:40001>198.18.0.1:443``.
+    """
+    client = flow >> ROUTE_BITS
+    route = flow & ROUTE_MASK
+    return f"{_end_text(client)}>{_end_text(route)}"
+
+
+def _end_text(end: int) -> str:
+    return f"{address_text(end >> PORT_BITS)}:{end & PORT_MASK}"
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/http.py
@@ -0,0 +1,69 @@
+"""A small HTTP server on tornado: a function from a request to an answer."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+JSON = "application/json"
+TEXT = "text/plain; version=0.0.4"
+BINARY = "application/octet-stream"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Status, body and type of the body."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = TEXT
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What a caller asks."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+NOT_FOUND = Answer(404)
+Handler = Callable[[Call], Answer]
+
+
+@contextmanager
+def http_server(address: tuple[str, int], handler: Handler) -> Iterator[None]:
+    """Answer calls at an address by a function until the context ends.
+
+    The function is called as soon as a request is whole and must not wait. Tornado's
+    web framework is left out: it costs a megabyte and half the time of each call.
+    """
+
+    def serve(request: HTTPServerRequest) -> None:
+        call = Call(request.method or "", request.path, request.body)
+        _answer(request, handler(call))
+
+    server = HTTPServer(serve)
+    server.listen(address[1], address[0])
+    try:
+        yield
+    finally:
+        server.stop()
+
+
+def _answer(request: HTTPServerRequest, answer: Answer) -> None:
+    headers = HTTPHeaders(
+        {
+            "Content-Length": str(len(answer.body)),
+            "Content-Type": answer.content_type,
+        }
+    )
+    line = ResponseStartLine("HTTP/1.1", answer.status, "")
+    connection = request.connection
+    if connection is None:
+        return
+    connection.write_headers(line, headers, answer.body)
+    connection.finish()
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/members.py
@@ -0,0 +1,98 @@
+"""The daemons that a process knows: as they are listed, and as they say themselves."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from cornelspan_common.hashing import name_seed
+
+TAG_MASK = 0xFFFFFFFF
+BALANCER = "balancer"
+AGENT = "agent"
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One daemon, by the address of its VM.
+
+    ``service`` is that of an agent's endpoint, "" for a balancer. Nothing here changes
+    when the process restarts, so a restart changes nothing for those who watch.
+    """
+
+    address: str
+    role: str
+    datacentre: str
+    service: str = ""
+
+
+@dataclass
+class Members:
+    """All known daemons by address.
+
+    ``revision`` is the store's when the listing was read, 0 before the first. ``told``
+    holds those that spoke for themselves and are not listed (yet).
+    """
+
+    listed: dict[str, Member] = field(default_factory=dict)
+    told: dict[str, Member] = field(default_factory=dict)
+    revision: int = 0
+
+    def replace(self, members: list[Member], revision: int) -> bool:
+        """Take in a whole listing; return False if a newer one is known."""
+        if revision < self.revision:
+            return False
+        self.listed = {member.address: member for member in members}
+        self.revision = revision
+        self._forget_told()
+        return True
+
+    def put(self, member: Member, revision: int) -> None:
+        """Take in a listed member that has come or changed."""
+        self.listed[member.address] = member
+        self.revision = max(self.revision, revision)
+        self._forget_told()
+
+    def remove(self, address: str, revision: int) -> None:
+        """Take in that a member is no longer listed."""
+        self.listed.pop(address, None)
+        self.revision = max(self.revision, revision)
+
+    def tell(self, member: Member) -> bool:
+        """Take in what a daemon says of itself; return whether that is news.
+
+        An address that another service has taken over is known here from its new owner
+        before the listing says so.
+        """
+        if self.get(member.address) == member:
+            return False
+        self.told[member.address] = member
+        return True
+
+    def forget(self, address: str) -> None:
+        """Forget what a daemon said of itself."""
+        self.told.pop(address, None)
+
+    def get(self, address: str) -> Member | None:
+        """Return the member at an address; its own word goes before the listing."""
+        return self.told.get(address) or self.listed.get(address)
+
+    def all(self) -> list[Member]:
+        """Return all members."""
+        return list({**self.listed, **self.told}.values())
+
+    def agents(self) -> list[Member]:
+        """Return all agents."""
+        return [member for member in self.all() if member.role == AGENT]
+
+    def balancers(self) -> list[Member]:
+        """Return all balancers."""
+        return [member for member in self.all() if member.role == BALANCER]
+
+    def _forget_told(self) -> None:
+        for address, member in list(self.told.items()):
+            if self.listed.get(address) == member:
+                del self.told[address]
+
+
+def service_tag(service: str) -> int:
+    """Return the number that stands for a service between daemons."""
+    return name_seed(service) & TAG_MASK
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/metrics.py
@@ -0,0 +1,49 @@
+"""The daemons' metrics as text, in the form that Prometheus reads.
+
+OpenTelemetry's SDK and its exporter take 4 MB and 70 ms of processor time at the start
+of a process (measured with ``resource.getrusage`` after the import); a pass-through
+daemon on a small VM is started often and has some 25 MB in all.
+"""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from cornelspan_passthrough.http import Answer
+
+if TYPE_CHECKING:
+    from cornelspan_passthrough.agent import Agent
+    from cornelspan_passthrough.balancer import Balancer
+
+PREFIX = "cornelspan_"
+
+
+def metrics_text(values: Mapping[str, float]) -> bytes:
+    """Return values as lines of text, by name."""
+    lines = [f"{PREFIX}{name} {value}" for name, value in sorted(values.items())]
+    return "\n".join([*lines, ""]).encode()
+
+
+def balancer_page(balancer: "Balancer") -> Answer:
+    """Return a balancer's metrics."""
+    values = {f"{name}_total": count for name, count in balancer.counts.items()}
+    values["client_packets_total"] = balancer.client_packets
+    values["pings_total"] = balancer.pings
+    values["configuration_version"] = balancer.routes.version
+    values["agents"] = len(balancer.members.agents())
+    values["learned_flows"] = len(balancer.owners)
+    values["datagrams_dropped_total"] = (
+        balancer.clients.dropped + balancer.daemons.dropped
+    )
+    return Answer(200, metrics_text(values))
+
+
+def agent_page(agent: "Agent") -> Answer:
+    """Return an agent's metrics."""
+    values = {f"{name}_total": count for name, count in agent.counts.items()}
+    values["flows"] = len(agent.flows)
+    values["requests_running"] = agent.flows.running
+    values["recorded_owners"] = len(agent.directory)
+    values["pace_seconds"] = agent.flows.pace_seconds
+    values["endpoint_state"] = agent.endpoint.state
+    values["datagrams_dropped_total"] = agent.local.dropped + agent.daemons.dropped
+    return Answer(200, metrics_text(values))
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/placing.py
@@ -0,0 +1,70 @@
+"""Chooses the endpoint that takes a new flow.
+
+The load pattern it answers: long flows that carry requests with pauses between them,
+beside flows of one request each, in front of endpoints of few slots that shed when
+their short queue is full.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from cornelspan_passthrough.pulses import DOWN, DRAINING, Pulse
+
+# A flow that is open but idle now will send again; in these terms it weighs a fifth of
+# a request that runs.
+IDLE_FLOW_WEIGHT = 0.2
+# A flow placed since the endpoint's last word will bring its first request at once.
+PLACED_WEIGHT = 1.0
+# An endpoint that is still cold takes this much longer for a request.
+COLD_FACTOR = 1.6
+DEFAULT_CAPACITY = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that may take a flow: its agent's address and pulse."""
+
+    address: str
+    pulse: Pulse
+
+
+def choose(candidates: Iterable[Candidate], chance: random.Random) -> str:
+    """Return the address of the endpoint to place a flow on, "" if none may take it.
+
+    Equals are told apart by chance: by rank, balancers that share a late view would
+    send all flows of a moment to the same endpoint.
+    """
+    best = ""
+    best_cost = (0.0, 0.0)
+    for candidate in candidates:
+        if not takes_flows(candidate.pulse):
+            continue
+        found = (cost(candidate.pulse), chance.random())
+        if not best or found < best_cost:
+            best = candidate.address
+            best_cost = found
+    return best
+
+
+def takes_flows(pulse: Pulse) -> bool:
+    """Whether an endpoint may take a flow, as far as its last word goes.
+
+    One that has not spoken yet may: after a loss of power the first flows would
+    otherwise wait for the first reports, and an agent whose endpoint is not there yet
+    hands a first packet back.
+    """
+    return pulse.pong is None or pulse.pong.state not in (DRAINING, DOWN)
+
+
+def cost(pulse: Pulse) -> float:
+    """Return how long a new request would wait at an endpoint, in its own paces."""
+    pong = pulse.pong
+    if pong is None:
+        return PLACED_WEIGHT * pulse.placed / DEFAULT_CAPACITY
+    idle = max(0, pong.flows - pong.running)
+    load = pong.running + IDLE_FLOW_WEIGHT * idle + PLACED_WEIGHT * pulse.placed
+    per_slot = load / max(1, pong.capacity)
+    if pong.cold_milliseconds > 0:
+        return (per_slot + 1) * COLD_FACTOR - 1
+    return per_slot
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
@@ -0,0 +1,111 @@
+"""What a balancer knows of each agent: whether it answers, and how busy it is."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+READY = 0
+DRAINING = 1
+DOWN = 2
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True):
+    """A balancer's question, with what other balancers want to know of it."""
+
+    number: int
+    address: str
+    version: int
+    revision: int
+    listed: bool
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True):
+    """An agent's answer.
+
+    ``state`` is that of its endpoint, of this module. ``running`` counts requests that
+    the endpoint works on or queues, ``flows`` open flows, ``capacity`` slots.
+    ``cold_milliseconds`` tells how much longer the endpoint is slow after its start,
+    ``pace_milliseconds`` how long its last requests took on average, 0 for unknown.
+    """
+
+    number: int
+    address: str
+    datacentre: str
+    service: str
+    state: int
+    capacity: int
+    running: int
+    flows: int
+    cold_milliseconds: int
+    pace_milliseconds: int
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon that speaks for itself, to those it knows from its seeds."""
+
+    address: str
+    role: str
+    datacentre: str
+    service: str
+
+
+@dataclass(slots=True)
+class Pulse:
+    """One agent as seen by this balancer; times are of the loop's clock, in seconds.
+
+    ``unanswered`` counts pings since the last answer, ``placed`` the flows sent to the
+    agent since the state of its last answer.
+    """
+
+    pong: Pong | None = None
+    answered_at: float = 0.0
+    unanswered: int = 0
+    placed: int = 0
+    refused_until: float = 0.0
+
+
+@dataclass
+class Pulses:
+    """The agents' pulses by address. One that was never asked counts as alive."""
+
+    missed_pings: int
+    by_address: dict[str, Pulse] = field(default_factory=dict)
+
+    def of(self, address: str) -> Pulse:
+        """Return an agent's pulse; a new one for an agent not seen before."""
+        pulse = self.by_address.get(address)
+        if pulse is None:
+            pulse = Pulse()
+            self.by_address[address] = pulse
+        return pulse
+
+    def asked(self, address: str) -> None:
+        """Count a ping that is on its way."""
+        self.of(address).unanswered += 1
+
+    def answered(self, pong: Pong, now: float) -> bool:
+        """Take in an answer; return whether the agent had been taken for gone."""
+        pulse = self.of(pong.address)
+        was_lost = pulse.unanswered > self.missed_pings
+        pulse.pong = pong
+        pulse.answered_at = now
+        pulse.unanswered = 0
+        pulse.placed = 0
+        return was_lost
+
+    def is_answering(self, address: str) -> bool:
+        """Whether an agent is taken for alive."""
+        return self.of(address).unanswered <= self.missed_pings
+
+    def doubt_nothing(self) -> None:
+        """Forget unanswered pings.
+
+        A process that was suspended has asked and not listened. Counted against the
+        agents, its own pause would turn all of them dead at once.
+        """
+        for pulse in self.by_address.values():
+            pulse.unanswered = 0
+
+    def forget(self, address: str) -> None:
+        """Forget an agent that is gone."""
+        self.by_address.pop(address, None)
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -0,0 +1,226 @@
+"""Runs a pass-through agent: sockets, listing, and the endpoint's calls."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+import msgspec
+
+from cornelspan_common.logs import get_log
+from cornelspan_common.tasks import task_group
+from cornelspan_passthrough.agent import Agent
+from cornelspan_passthrough.datagrams import datagram_socket
+from cornelspan_passthrough.endpoint import Report
+from cornelspan_passthrough.heads import PacketCodec
+from cornelspan_passthrough.hops import GONE, HELLO
+from cornelspan_passthrough.http import JSON, NOT_FOUND, Answer, Call, http_server
+from cornelspan_passthrough.members import AGENT, Member
+from cornelspan_passthrough.metrics import agent_page
+from cornelspan_passthrough.pulses import DOWN, Hello
+from cornelspan_passthrough.running_balancer import list_member
+from cornelspan_passthrough.settings import AgentSettings, socket_address
+from cornelspan_passthrough.store import Backoff, PlatformStore
+
+SWEEP_SECONDS = 2.0
+# The endpoint's life is looked at this often while a report is missing.
+PROBE_SECONDS = 0.1
+PROBE_TIMEOUT_SECONDS = 0.3
+# Without a ping for this long, or unlisted in the pings for this long, an agent lists
+# itself anew: its entry may have been taken away.
+UNHEARD_SECONDS = 3.0
+LISTING_SECONDS = 1.0
+# Time for other daemons to hear that this one stops.
+STOP_SECONDS = 0.1
+
+log = get_log(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """An endpoint's word that a life of it is over."""
+
+    life: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A call of the endpoint that can't be read, and why."""
+
+    reason: str
+
+
+EndpointCall = Report | Left | Refused | None
+ReadCall = Callable[[Call], EndpointCall]
+
+
+async def run_agent(
+    settings: AgentSettings,
+    codec: PacketCodec,
+    store: PlatformStore,
+    read_call: ReadCall,
+    stop: asyncio.Event,
+) -> None:
+    """Run an agent until it is told to stop.
+
+    Args:
+        settings: Its settings.
+        codec: The packets' form.
+        store: The platform's store.
+        read_call: What an endpoint's call means; None for one that is unknown.
+        stop: Set when the process shall stop.
+    """
+    with ExitStack() as sockets:
+        agent = open_agent(settings, codec, sockets)
+        now = asyncio.get_running_loop().time
+        sockets.enter_context(
+            http_server(
+                socket_address(settings.reports),
+                lambda call: _answer(agent, read_call(call), now()),
+            )
+        )
+        if settings.metrics_port is not None:
+            sockets.enter_context(
+                http_server(
+                    (settings.address, settings.metrics_port),
+                    lambda call: agent_page(agent),
+                )
+            )
+        async with task_group() as tasks:
+            tasks.start(_stay_listed(agent, store), name="listing")
+            tasks.start(_watch_endpoint(agent), name="endpoint")
+            tasks.start(_sweep(agent), name="sweep")
+            log.info("started", extra={"address": settings.address})
+            await stop.wait()
+            await _leave(agent, store)
+    log.info("stopped", extra={"address": settings.address})
+
+
+def open_agent(
+    settings: AgentSettings, codec: PacketCodec, sockets: ExitStack
+) -> Agent:
+    """Open an agent's sockets and return its state."""
+    now = asyncio.get_running_loop().time
+    received: list[Agent] = []
+
+    def from_endpoint(data: bytes, sender: tuple[str, int]) -> None:
+        received[0].from_endpoint(data, now())
+
+    def from_daemon(data: bytes, sender: tuple[str, int]) -> None:
+        received[0].from_daemon(data, sender[0], now())
+
+    local = sockets.enter_context(
+        datagram_socket(socket_address(settings.outbound), from_endpoint)
+    )
+    daemons = sockets.enter_context(
+        datagram_socket((settings.address, settings.internal_port), from_daemon)
+    )
+    agent = Agent(settings, codec, local, daemons, now())
+    received.append(agent)
+    return agent
+
+
+def _answer(agent: Agent, call: EndpointCall, now: float) -> Answer:
+    match call:
+        case Report():
+            agent.report(call, now)
+            return Answer(200, b"{}", JSON)
+        case Left(life):
+            agent.leave(life)
+            return Answer(200, b"{}", JSON)
+        case Refused(reason):
+            log.warning("endpoint's call refused", extra={"reason": reason})
+            return Answer(400, reason.encode())
+        case None:
+            return NOT_FOUND
+
+
+async def _stay_listed(agent: Agent, store: PlatformStore) -> None:
+    """List this agent, and again whenever its entry seems to be gone."""
+    settings = agent.settings
+    member = Member(settings.address, AGENT, settings.datacentre, settings.service)
+    backoff = Backoff(random.Random())
+    greeting = asyncio.create_task(_greet(agent))
+    try:
+        await list_member(store, member, backoff)
+        while True:
+            await asyncio.sleep(LISTING_SECONDS)
+            if _seems_unlisted(agent):
+                await list_member(store, member, backoff)
+                agent.unlisted_at = None
+                agent.pinged_at = asyncio.get_running_loop().time()
+    finally:
+        greeting.cancel()
+
+
+def _seems_unlisted(agent: Agent) -> bool:
+    now = asyncio.get_running_loop().time()
+    if agent.unlisted_at is not None and now - agent.unlisted_at > LISTING_SECONDS:
+        return True
+    return now - max(agent.pinged_at, agent.started_at) > UNHEARD_SECONDS
+
+
+async def _greet(agent: Agent) -> None:
+    """Speak up to the seeds until a balancer has been heard of."""
+    settings = agent.settings
+    hello = Hello(settings.address, AGENT, settings.datacentre, settings.service)
+    datagram = bytes((HELLO,)) + msgspec.msgpack.encode(hello)
+    while not agent.pinged_at:
+        for seed in settings.seeds:
+            address = socket_address(seed)[0]
+            agent.daemons.send(datagram, (address, settings.internal_port))
+        await asyncio.sleep(LISTING_SECONDS)
+
+
+async def _watch_endpoint(agent: Agent) -> None:
+    """Look whether the endpoint is still there when its report is missing.
+
+    A crashed endpoint sends nothing more. A connection refused at its address is sure
+    evidence, so its flows can be reset while their clients have time to try again.
+    """
+    now = asyncio.get_running_loop().time
+    while True:
+        await asyncio.sleep(PROBE_SECONDS)
+        endpoint = agent.endpoint
+        if endpoint.state == DOWN or not endpoint.is_overdue(now()):
+            continue
+        log.info("report missing", extra={"life": endpoint.life})
+        if await _refuses(agent.endpoint_address):
+            agent.endpoint_refuses()
+        else:
+            await asyncio.sleep(endpoint.report_seconds)
+
+
+async def _refuses(address: tuple[str, int]) -> bool:
+    """Whether a connection to an address is refused."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(*address)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError) as error:
+        log.info("endpoint not reached", extra={"reason": repr(error)})
+        return False
+    writer.close()
+    return False
+
+
+async def _sweep(agent: Agent) -> None:
+    now = asyncio.get_running_loop().time
+    while True:
+        await asyncio.sleep(SWEEP_SECONDS)
+        agent.sweep(now())
+
+
+async def _leave(agent: Agent, store: PlatformStore) -> None:
+    """Stop: tell balancers, and leave the listing if the endpoint has gone as well."""
+    agent.stopping = True
+    log.info("stopping", extra={"endpoint": agent.endpoint.state})
+    for address in agent.balancers:
+        agent.daemons.send(bytes((GONE,)), (address, agent.settings.internal_port))
+    if agent.endpoint.state == DOWN:
+        removed = await store.remove_member(agent.settings.address)
+        if removed.is_err():
+            log.warning("still listed", extra={"reason": str(removed.unwrap_err())})
+    await asyncio.sleep(STOP_SECONDS)
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/settings.py
@@ -0,0 +1,89 @@
+"""Settings of the pass-through daemons: JSON, decoded and checked by msgspec."""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+from cornelspan_common.settings import Checked, LogSettings, Port
+
+Milliseconds = Annotated[int, Meta(ge=1, le=600_000)]
+SocketText = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+IpText = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
+VmName = Annotated[str, Meta(min_length=1, max_length=253)]
+
+
+class ObjectStoreSettings(Checked, frozen=True, kw_only=True):
+    """Where the platform's store is, and what it takes from all daemons together.
+
+    ``calls_per_second`` is what one daemon allows itself. The fleet's first listing
+    and writes are a few calls a daemon; 20 is far above what a daemon needs and keeps
+    a fault of one from using up the rate of all.
+    """
+
+    address: SocketText
+    call_milliseconds: Milliseconds = 2000
+    calls_per_second: Annotated[float, Meta(gt=0, le=1000)] = 20.0
+
+
+class PulseSettings(Checked, frozen=True, kw_only=True):
+    """How daemons watch one another.
+
+    A balancer asks each agent every ``interval_milliseconds`` at the least, and no more
+    than ``pings_per_second`` agents in all. An agent that has not answered
+    ``missed_pings`` in a row gets no new flow: three at 200 ms let one or two lost
+    datagrams pass and still hear of a dead VM within two of a client's repeats.
+    """
+
+    interval_milliseconds: Milliseconds = 200
+    pings_per_second: Annotated[float, Meta(gt=0, le=10_000)] = 200.0
+    missed_pings: Annotated[int, Meta(ge=1, le=100)] = 3
+
+
+class DaemonSettings(Checked, frozen=True, kw_only=True):
+    """What both pass-through daemons have in common.
+
+    ``packets`` is where a balancer gets clients' packets; its port is also where
+    clients listen. ``internal_port`` is the same on all VMs. ``seeds`` are addresses of
+    daemons that may know others when the store can't be reached. ``flow_seconds`` is
+    the age at which a flow may be forgotten.
+    """
+
+    name: VmName
+    datacentre: VmName
+    address: IpText
+    packets: SocketText
+    ready: SocketText
+    internal_port: Port
+    store: ObjectStoreSettings
+    seeds: tuple[SocketText, ...] = ()
+    metrics_port: Port | None = None
+    log: LogSettings = LogSettings()
+    pulse: PulseSettings = PulseSettings()
+    flow_seconds: Annotated[float, Meta(gt=0, le=86_400)] = 60.0
+    grace_seconds: Annotated[float, Meta(gt=0, le=600)] = 6.0
+
+
+class BalancerSettings(DaemonSettings, frozen=True, kw_only=True):
+    """Settings of a pass-through balancer."""
+
+    learned_flows: Annotated[int, Meta(ge=0, le=10_000_000)] = 200_000
+
+
+class AgentSettings(DaemonSettings, frozen=True, kw_only=True):
+    """Settings of a pass-through agent, beside the one endpoint that it serves.
+
+    The endpoint takes packets at ``endpoint``, sends its own to ``outbound``, and
+    reports to ``reports`` about every ``report_milliseconds``.
+    """
+
+    service: VmName
+    endpoint: SocketText
+    outbound: SocketText
+    reports: SocketText
+    report_milliseconds: Milliseconds
+
+
+def socket_address(text: str) -> tuple[str, int]:
+    """Return the address and port of a ``SocketText``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- a/packages/cornelspan-standins/src/cornelspan_standins/_control_fleet.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/_control_fleet.py
@@ -18,9 +18,9 @@
 from cornelspan_common.packets import Hello
 from cornelspan_common.settings import Address, DaemonSettings, StoreSettings
 from cornelspan_common.streams import PROTOCOL, Peer, serve_peers
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.control_plane import Control, control_plane
-from cornelspan_platform.members import Members
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.control_plane import Control, control_plane
+from cornelspan_control.members import Members
 
 LOOPBACK = "127.0.0.1"
 DATACENTRE = "chuo-hall"
--- a/packages/cornelspan-standins/src/cornelspan_standins/_control_state.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/_control_state.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from cornelspan_common.control import Announce, Membership
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
-from cornelspan_platform.records import HEAD, INDEX
-from cornelspan_platform.roster import Roster
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
+from cornelspan_control.records import HEAD, INDEX
+from cornelspan_control.roster import Roster
 from cornelspan_standins.objects import ObjectStore
 
 DATACENTRES = 12
--- a/packages/cornelspan-standins/src/cornelspan_standins/_measured.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/_measured.py
@@ -21,9 +21,9 @@
 from cornelspan_common.streams import LENGTH_BYTES, PROTOCOL, Peer, open_peer
 from cornelspan_common.tasks import task_group
 from cornelspan_common.tls import PLAIN
-from cornelspan_platform.configuration import Configuration, Snapshot
-from cornelspan_platform.members import Members
-from cornelspan_platform.profiles import Profile, Service
+from cornelspan_control.configuration import Configuration, Snapshot
+from cornelspan_control.members import Members
+from cornelspan_control.profiles import Profile, Service
 from cornelspan_standins.deployment import (
     SHIRAKABA,
     Plan,
--- a/packages/cornelspan-standins/src/cornelspan_standins/_placement_policies.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/_placement_policies.py
@@ -16,8 +16,8 @@
 )
 from cornelspan_common.control import Announce
 from cornelspan_common.ownership import Load
-from cornelspan_platform.members import Members
-from cornelspan_platform.ranking import Ranking
+from cornelspan_control.members import Members
+from cornelspan_control.ranking import Ranking
 from cornelspan_standins._placement_run import (
     NETWORK_SECONDS,
     SLOTS,
--- a/packages/cornelspan-standins/src/cornelspan_standins/_requests_run.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/_requests_run.py
@@ -17,7 +17,7 @@
 from cornelspan_agent.outcomes import Reason, Refusal
 from cornelspan_agent.placement import LOAD_SECONDS, Loads, OwnLoad, load_message
 from cornelspan_agent.queue import Ticket
-from cornelspan_platform.profiles import RequestPolicy
+from cornelspan_control.profiles import RequestPolicy
 
 MEAN_SECONDS = 0.05
 SLOTS = 2
--- a/packages/cornelspan-standins/src/cornelspan_standins/bench_control.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/bench_control.py
@@ -14,10 +14,10 @@
 import numpy
 
 from cornelspan_common.settings import Address, StoreSettings
-from cornelspan_platform.changes import accept, new_change
-from cornelspan_platform.profiles import Profile, Service
-from cornelspan_platform.reading import see
-from cornelspan_platform.records import (
+from cornelspan_control.changes import accept, new_change
+from cornelspan_control.profiles import Profile, Service
+from cornelspan_control.reading import see
+from cornelspan_control.records import (
     HEAD,
     INDEX,
     Head,
@@ -27,7 +27,7 @@
     Version,
     version_name,
 )
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.store import StoreClient
 from cornelspan_standins._control_fleet import ControlFleet
 from cornelspan_standins._control_state import state_at_letter_size
 from cornelspan_standins.bench import BenchResult, BenchSettings, Bound, bench
--- a/packages/cornelspan-standins/src/cornelspan_standins/demo.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/demo.py
@@ -18,9 +18,9 @@
 
 from cornelspan_common.logs import start_logging
 from cornelspan_common.settings import LogSettings, StoreSettings
-from cornelspan_platform.changes import accept, new_change
-from cornelspan_platform.reading import see
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.changes import accept, new_change
+from cornelspan_control.reading import see
+from cornelspan_control.store import StoreClient
 from cornelspan_standins.callers import (
     Callers,
     LoadReport,
--- a/packages/cornelspan-standins/src/cornelspan_standins/deployment.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/deployment.py
@@ -24,12 +24,12 @@
     BalancerSettings,
     StoreSettings,
 )
-from cornelspan_platform.changes import accept, new_change
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
-from cornelspan_platform.profiles import Profile, Service
-from cornelspan_platform.records import Kind
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.changes import accept, new_change
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
+from cornelspan_control.profiles import Profile, Service
+from cornelspan_control.records import Kind
+from cornelspan_control.store import StoreClient
 from cornelspan_standins.fabric import Fabric, FabricSettings, fabric
 from cornelspan_standins.hosting import Host, hosted
 from cornelspan_standins.journal import Journal
--- a/packages/cornelspan-standins/src/cornelspan_standins/examples.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/examples.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cornelspan_common.settings import Checked, ClientSettings, StoreSettings
-from cornelspan_platform.profiles import Profile
+from cornelspan_control.profiles import Profile
 from cornelspan_standins.deployment import (
     DOCUMENTS,
     ORDERS,
--- a/packages/cornelspan-standins/src/cornelspan_standins/scenario_stage.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/scenario_stage.py
@@ -9,24 +9,24 @@
 import msgspec
 from result import Err, Result
 
+from cornelspan_common.store_errors import (
+    ReadError,
+)
 from cornelspan_common.tasks import Tasks, task_group
-from cornelspan_platform.changes import (
+from cornelspan_control.changes import (
     ChangeError,
     Conflict,
     NotFound,
     accept,
     new_change,
 )
-from cornelspan_platform.profiles import Profile, Service
-from cornelspan_platform.reading import see
-from cornelspan_platform.records import Accepted, Kind
-from cornelspan_platform.store import (
+from cornelspan_control.profiles import Profile, Service
+from cornelspan_control.reading import see
+from cornelspan_control.records import Accepted, Kind
+from cornelspan_control.store import (
     StoreClient,
     StoreSettings,
 )
-from cornelspan_platform.store_errors import (
-    ReadError,
-)
 from cornelspan_standins.callers import Callers, LoadReport, RequestOutcome
 from cornelspan_standins.cuts import Cuts, cuttable
 from cornelspan_standins.deployment import (
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -19,9 +19,9 @@
     StreamSettings,
 )
 from cornelspan_common.streams import PROTOCOL, serve_peers
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.control_plane import Control, control_plane
-from cornelspan_platform.members import Members
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.control_plane import Control, control_plane
+from cornelspan_control.members import Members
 
 QUICK = ControlSettings(
     heartbeat_seconds=0.1,
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -20,9 +20,9 @@
     AgentSettings,
     StoreSettings,
 )
-from cornelspan_platform.configuration import Configuration, Snapshot
-from cornelspan_platform.members import Members
-from cornelspan_platform.profiles import Profile, Service
+from cornelspan_control.configuration import Configuration, Snapshot
+from cornelspan_control.members import Members
+from cornelspan_control.profiles import Profile, Service
 
 HOST = "127.0.0.1"
 WARM = Profile(name="orders", priority=0, slow_start_seconds=0)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,7 +5,7 @@
 from cornelspan_agent.admission import QUEUE_BYTES, Admission
 from cornelspan_agent.outcomes import Outcome, Reason
 from cornelspan_agent.queue import Ticket
-from cornelspan_platform.profiles import RequestPolicy
+from cornelspan_control.profiles import RequestPolicy
 
 POLICY = RequestPolicy(queue=4, caller_share=0.5)
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -21,7 +21,7 @@
 from cornelspan_agent.outcomes import AnswerHead, Outcome, Reason, Refusal
 from cornelspan_common.control import Announce
 from cornelspan_common.tasks import Tasks
-from cornelspan_platform.members import Members
+from cornelspan_control.members import Members
 from virtual_time import run_virtually
 
 WINDOW = 60.0
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cornelspan_agent.objectives import ObjectiveCounts
-from cornelspan_platform.burn import (
+from cornelspan_control.burn import (
     DAY_MINUTES,
     FAST,
     SLOW,
@@ -17,7 +17,7 @@
     merge_series,
     totals_over,
 )
-from cornelspan_platform.profiles import Objective
+from cornelspan_control.profiles import Objective
 
 NOW = 29_000_000
 OBJECTIVE = Objective(good_share=0.99, latency_seconds=0.5, window_days=28)
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from cornelspan_common.settings import Address, StoreSettings
-from cornelspan_platform.changes import (
+from cornelspan_control.changes import (
     Conflict,
     Invalid,
     NotFound,
@@ -16,11 +16,11 @@
     accept,
     new_change,
 )
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.profiles import Profile, Service
-from cornelspan_platform.reading import history, read_newer, read_snapshot, see
-from cornelspan_platform.records import KEPT_VERSIONS
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.profiles import Profile, Service
+from cornelspan_control.reading import history, read_newer, read_snapshot, see
+from cornelspan_control.records import KEPT_VERSIONS
+from cornelspan_control.store import StoreClient
 from cornelspan_standins.objects import Rates, object_store
 
 FAST = Rates(writes=100_000, reads=100_000)
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -8,10 +8,10 @@
 
 from control_fleet import QUICK, Fleet
 from cornelspan_common.settings import Address, StoreSettings
-from cornelspan_platform.changes import Conflict, accept, new_change
-from cornelspan_platform.profiles import Profile
-from cornelspan_platform.reading import see
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.changes import Conflict, accept, new_change
+from cornelspan_control.profiles import Profile
+from cornelspan_control.reading import see
+from cornelspan_control.store import StoreClient
 from cornelspan_standins.objects import Rates, object_store
 
 FAST = Rates(writes=100_000, reads=100_000)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -25,10 +25,10 @@
     decode_settings,
 )
 from cornelspan_common.streams import batches, decode_batch, open_peer, serve_peers
-from cornelspan_platform.profiles import Profile
-from cornelspan_platform.reading import read_snapshot
-from cornelspan_platform.store import StoreClient
-from cornelspan_platform.summaries import read_summaries, read_summary
+from cornelspan_control.profiles import Profile
+from cornelspan_control.reading import read_snapshot
+from cornelspan_control.store import StoreClient
+from cornelspan_control.summaries import read_summaries, read_summary
 from local import BASE_PORT
 from test_settings import GOOD
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,7 +5,7 @@
 import pytest
 from tornado.iostream import StreamClosedError
 
-from cornelspan_platform.profiles import Profile, RequestPolicy
+from cornelspan_control.profiles import Profile, RequestPolicy
 from http_fakes import Caller, fake_server, running_gateway
 
 
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 from tornado.iostream import StreamClosedError
 
-from cornelspan_platform.profiles import EjectionPolicy, RequestPolicy
+from cornelspan_control.profiles import EjectionPolicy, RequestPolicy
 from http_fakes import WARM, Caller, fake_server, running_group
 
 SERVICE_SECONDS = 0.02
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -1,6 +1,6 @@
 """The balancer's cache of owners: bounded, and it forgets."""
 
-from cornelspan_balancer.learned import Learned
+from cornelspan_common.learned import Learned
 
 
 def test_least_recently_used_goes_first():
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,8 +8,8 @@
 from cornelspan_agent.daemon import agent
 from cornelspan_common.packets import Kind, Packet
 from cornelspan_common.settings import Address, AgentSettings, StoreSettings
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
 
 
 def settings_at(port):
--- a/tests/test_paused_relay.py
+++ b/tests/test_paused_relay.py
@@ -12,7 +12,7 @@
 from control_fleet import Fleet
 from cornelspan_common.hashing import name_seed, rank
 from cornelspan_common.settings import Address, StoreSettings
-from cornelspan_platform.store import StoreClient
+from cornelspan_control.store import StoreClient
 from cornelspan_standins.objects import Rates, object_store
 from test_control_plane import put_profile, until
 
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from cornelspan_common.control import Announce
-from cornelspan_platform.members import Members
-from cornelspan_platform.ranking import CANDIDATES, Ranking
+from cornelspan_control.members import Members
+from cornelspan_control.ranking import CANDIDATES, Ranking
 
 
 def members_of(names, *, service="order-hub", weight=1.0, leaving=()):
--- a/tests/test_report_command.py
+++ b/tests/test_report_command.py
@@ -8,8 +8,8 @@
 
 from cornelspan_cli.report import report_document, show_report
 from cornelspan_cli.report_page import render_page
-from cornelspan_platform.burn import FAST
-from cornelspan_platform.reports import build_report
+from cornelspan_control.burn import FAST
+from cornelspan_control.reports import build_report
 from test_reports import NOW, SNAPSHOT, burning
 
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -2,11 +2,11 @@
 
 from cornelspan_balancer.service_levels import ServiceLevels
 from cornelspan_common.service_levels import Minute, ServiceCounts
-from cornelspan_platform.burn import FAST, Series, add_minute
-from cornelspan_platform.configuration import Configuration, Snapshot
-from cornelspan_platform.profiles import Objective, Profile, Service
-from cornelspan_platform.reports import build_report
-from cornelspan_platform.summaries import (
+from cornelspan_control.burn import FAST, Series, add_minute
+from cornelspan_control.configuration import Configuration, Snapshot
+from cornelspan_control.profiles import Objective, Profile, Service
+from cornelspan_control.reports import build_report
+from cornelspan_control.summaries import (
     SealedAgent,
     ServiceSummary,
     Summary,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -14,8 +14,8 @@
 from cornelspan_common.packets import Hint, Kind, Packet, Routed
 from cornelspan_common.settings import Address, AgentSettings, StoreSettings
 from cornelspan_common.tasks import task_group
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
 
 ADDRESS = "127.0.0.1:80"
 OTHER = "127.0.0.1:81"
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,18 +6,16 @@
 import pytest
 from result import Err
 
+from cornelspan_common.calls import CallBudget
 from cornelspan_common.settings import Address, StoreSettings
-from cornelspan_platform.store import (
-    CallBudget,
-    StoreClient,
-)
-from cornelspan_platform.store_errors import (
+from cornelspan_common.store_errors import (
     CallRefused,
     ObjectMissing,
     OutcomeUnknown,
     StoreUnavailable,
     VersionConflict,
 )
+from cornelspan_control.store import StoreClient
 from cornelspan_standins.objects import Rates, object_store
 
 
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -6,9 +6,9 @@
 
 from cornelspan_common.service_levels import Minute, ServiceCounts
 from cornelspan_common.settings import Address, StoreSettings
-from cornelspan_platform.burn import totals_over
-from cornelspan_platform.store import StoreClient
-from cornelspan_platform.summaries import Collector, read_summary
+from cornelspan_control.burn import totals_over
+from cornelspan_control.store import StoreClient
+from cornelspan_control.summaries import Collector, read_summary
 from cornelspan_standins.objects import object_store
 from local import BASE_PORT
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -19,16 +19,16 @@
     StreamSettings,
     TlsSettings,
 )
+from cornelspan_common.store_errors import (
+    StoreUnavailable,
+)
 from cornelspan_common.streams import batches, open_peer, serve_peers
 from cornelspan_common.tls import open_tls, reload_tls
-from cornelspan_platform.configuration import Configuration
-from cornelspan_platform.members import Members
-from cornelspan_platform.store import (
+from cornelspan_control.configuration import Configuration
+from cornelspan_control.members import Members
+from cornelspan_control.store import (
     StoreClient,
 )
-from cornelspan_platform.store_errors import (
-    StoreUnavailable,
-)
 from cornelspan_standins.objects import object_store
 
 LIMITS = StreamSettings(connect_seconds=1.0)
