Ask all agents once a home has named the wrong owner

Cause: when two endpoints answer the copies of a first packet, the homes keep the record of whichever spoke last. The client may take up the other one.

Change: a home that named the wrong owner isn't asked again; all agents are, and the homes are corrected. tests/test_passthrough_flows.py replays it and failed before.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -224,9 +224,17 @@
         search = self.searches.end(flow)
         if search is None:
             return
+        if search.asked:
+            self._correct_homes(flow, owner)
         for packet in search.waiting:
             self._send(owner, hops.encode_packet(hops.DELIVER, packet))
 
+    def _correct_homes(self, flow: int, owner: str) -> None:
+        """Have the homes record the owner that they did not know."""
+        agent = int(IPv4Address(owner))
+        for home in self.homes.of(flow):
+            self._send(home, hops.encode_note(hops.RECORD, flow, agent=agent))
+
     def _without(self, flow: int, agent: str, packet: bytes, now: float) -> None:
         """Take in that an agent's endpoint doesn't hold a flow."""
         search = self.searches.get(flow)
@@ -234,6 +242,12 @@
             self._lost_owner(flow, agent, packet, now)
             return
         search.without.add(agent)
+        if not search.asked:
+            # A home named this agent. Asked again, homes would name it again: a first
+            # packet that two endpoints answered leaves the record of whichever spoke
+            # last, and the client takes up either.
+            search.homes.clear()
+            self._ask_next(flow, search, now)
         if search.is_exhausted:
             self._end_dead_flow(flow, search)
 
@@ -246,7 +260,9 @@
         if head is None or head.flags & SYN:
             return
         log.info("owner lost", extra={"flow": flow_text(flow), "agent": agent})
-        self._find(head, packet, now)
+        search = Search(packet, head.acknowledged, now, [], without={agent})
+        self.searches.start(flow, search)
+        self._ask_next(flow, search, now)
 
     def _end_dead_flow(self, flow: int, search: Search) -> None:
         """Reset a flow that no endpoint holds.
