Hold a first packet until an agent answers; ask latecomers again

Cause: after a loss of power balancers are up before agents. First packets were sent to VMs without an agent and lost; clients repeat them after 200 and 600 ms. Questions on dead flows could not reach the last agents and were asked again only by the client's next repeat.

Change: a first packet waits up to a second for the first answer of an agent, agents that have never answered are pinged every 50 ms, and an agent that comes up is asked what it was asked in vain. Three tests in tests/test_passthrough_flows.py.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -7,6 +7,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from ipaddress import IPv4Address
 
@@ -33,7 +34,7 @@
 )
 from cornelspan_passthrough.homes import Homes
 from cornelspan_passthrough.members import AGENT, BALANCER, Member, Members, service_tag
-from cornelspan_passthrough.openings import Opening, Openings
+from cornelspan_passthrough.openings import HELD_SECONDS, Opening, Openings
 from cornelspan_passthrough.placing import Candidate, choose, takes_flows
 from cornelspan_passthrough.pulses import Hello, Ping, Pong, Pulses
 from cornelspan_passthrough.settings import BalancerSettings, socket_address
@@ -103,6 +104,8 @@
         opening = self.openings.get(head.flow, head.sequence, now)
         if opening is None:
             opening = self.openings.start(head.flow, head.sequence, now)
+        elif opening.held:
+            return
         elif opening.confirmed:
             self._offer(opening.owner, route, head.flow, data)
             return
@@ -114,7 +117,16 @@
     def _place(
         self, opening: Opening, route: Route, flow: int, data: bytes, now: float
     ) -> None:
-        """Offer a first packet to the endpoint that would serve it soonest."""
+        """Offer a first packet to the endpoint that would serve it soonest.
+
+        While no agent of the route has answered this balancer yet, it waits: sent to a
+        VM whose agent is about to come up it would be lost, and the client's repeat
+        comes 200 ms later at the earliest.
+        """
+        if not self._knows_any_agent(route):
+            opening.held = data
+            return
+        opening.held = b""
         service, owner = self._choose(route, flow, opening.refused | {opening.owner})
         if not owner and opening.owner and opening.owner not in opening.refused:
             service, owner = self._choose(route, flow, opening.refused)
@@ -143,6 +155,28 @@
         self.counts["flows_placed"] += 1
         self._offer(owner, route, flow, data, service=service)
 
+    def _knows_any_agent(self, route: Route) -> bool:
+        """Whether an agent of the route has answered, or there is none to wait for."""
+        addresses = [
+            address
+            for share in route.shares
+            for address in self.by_service.get(share.service, [])
+        ]
+        if not addresses:
+            return bool(self.members.revision)
+        return any(self.pulses.of(address).pong for address in addresses)
+
+    def _place_held(self, now: float) -> None:
+        """Place first packets that have waited for an agent, or give them up."""
+        for flow, opening in self.openings.held():
+            route = self.routes.route(flow)
+            waited = now - opening.started_at
+            if route is None or waited > HELD_SECONDS:
+                opening.held = b""
+                self._refuse(flow, "no agent answers", waited_ms=round(waited * 1000))
+                continue
+            self._place(opening, route, flow, opening.held, now)
+
     def _choose(self, route: Route, flow: int, tried: set[str]) -> tuple[str, str]:
         """Return service and agent for a flow, "" for none.
 
@@ -191,6 +225,7 @@
         search = self.searches.get(head.flow)
         if search is not None:
             search.keep(data)
+            self._ask(search, search.asked - search.without)
             return
         if head.flags & RST:
             self.counts["strays"] += 1
@@ -215,9 +250,18 @@
             "owner asked of all",
             extra={"flow": flow_text(flow), "agents": len(agents)},
         )
+        self._ask(search, agents)
+
+    def _ask(self, search: Search, agents: Iterable[str]) -> None:
         for address in agents:
             self._send(address, hops.encode_packet(hops.ASK, search.packet))
 
+    def _ask_newcomer(self, address: str) -> None:
+        """Ask an agent that has just come up what it was asked in vain before."""
+        for search in self.searches.by_flow.values():
+            if address in search.asked and address not in search.without:
+                self._ask(search, [address])
+
     def _found(self, flow: int, owner: str) -> None:
         """Send what has waited to the owner; the question's packet is there already."""
         self.owners.learn(flow, owner)
@@ -347,8 +391,12 @@
             # again for good.
             return
         was = self.pulses.of(pong.address).pong
-        if self.pulses.answered(pong, now):
+        is_regained = self.pulses.answered(pong, now)
+        if is_regained:
             log.info("agent regained", extra={"agent": pong.address})
+        if is_regained or was is None:
+            self._place_held(now)
+            self._ask_newcomer(pong.address)
         if was is None or was.state != pong.state:
             extra = {"agent": pong.address, "state": pong.state}
             log.info("agent's endpoint changed", extra=extra)
@@ -377,6 +425,8 @@
             self.counts["broken_datagrams"] += 1
             return
         member = Member(hello.address, hello.role, hello.datacentre, hello.service)
+        if member.role == AGENT:
+            self.ping_agent(member.address)
         if not self.members.tell(member):
             return
         log.info("daemon spoke up", extra={"address": hello.address})
@@ -443,6 +493,7 @@
             if search is not None:
                 self._ask_next(flow, search, now)
         self.searches.sweep(now)
+        self._place_held(now)
         self.openings.sweep(now)
 
     def _send(self, address: str, data: bytes) -> None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/finding.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/finding.py
@@ -10,9 +10,9 @@
 # A home that lives answers within a round trip, a few milliseconds; after this the next
 # is asked. The client's own repeat comes after 200 ms.
 HOME_SECONDS = 0.04
-# A search that found nobody is given up after this; the client's next repeat begins a
-# new one.
-SEARCH_SECONDS = 0.6
+# A search waits this long for agents that are about to come up. Clients' time budgets
+# are of this order, and a client's next repeat begins a new search.
+SEARCH_SECONDS = 2.0
 # What a client may have in flight.
 KEPT_PACKETS = 16
 LIMIT = 8192
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
@@ -6,6 +6,10 @@
 # another flow on the same port.
 KEPT_SECONDS = 3.0
 LIMIT = 65_536
+# A first packet waits this long for an agent to answer. After a loss of power agents
+# come up within a second of the balancers; a client whose flow is refused by then still
+# has time for a try of its own, while its own repeat comes after 200 and 600 ms only.
+HELD_SECONDS = 1.0
 
 
 @dataclass(slots=True)
@@ -13,6 +17,7 @@
     """A flow on its way to an endpoint; ``confirmed`` once the endpoint took it.
 
     ``owner`` is the agent it was sent to last, ``refused`` those that turned it away.
+    ``held`` is its first packet while no agent is known to be there.
     """
 
     sequence: int
@@ -20,6 +25,7 @@
     started_at: float
     refused: set[str] = field(default_factory=set)
     confirmed: bool = False
+    held: bytes = b""
 
 
 @dataclass
@@ -50,6 +56,10 @@
         if opening is not None and opening.owner == owner:
             opening.confirmed = True
 
+    def held(self) -> list[tuple[int, Opening]]:
+        """Return the openings whose first packet waits for an agent."""
+        return [pair for pair in self.by_flow.items() if pair[1].held]
+
     def sweep(self, now: float) -> None:
         """Forget openings that are too old to matter."""
         for flow in list(self.by_flow):
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
@@ -8,6 +8,10 @@
 DRAINING = 1
 DOWN = 2
 
+# An agent that has never answered is asked this often in quick succession, for three
+# seconds in steps of 50 ms, then at the usual pace.
+NEWCOMER_PINGS = 60
+
 
 class Ping(msgspec.Struct, frozen=True, array_like=True):
     """A balancer's question, with what other balancers want to know of it."""
@@ -106,6 +110,15 @@
         for pulse in self.by_address.values():
             pulse.unanswered = 0
 
+    def newcomers(self, addresses: list[str]) -> list[str]:
+        """Return those that have never answered and may be about to come up."""
+        return [
+            address
+            for address in addresses
+            if self.of(address).pong is None
+            and self.of(address).unanswered < NEWCOMER_PINGS
+        ]
+
     def forget(self, address: str) -> None:
         """Forget an agent that is gone."""
         self.by_address.pop(address, None)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -32,6 +32,9 @@
 
 # Searches wait 40 ms for a home; looking every 20 ms finds them late by half at most.
 TICK_SECONDS = 0.02
+# How soon an agent that comes up is noticed after a common loss of power; clients'
+# first packets wait for it.
+NEWCOMER_SECONDS = 0.05
 # A watch of the configuration that went silent must be noticed well within the seconds
 # in which a change has to be in force.
 CONFIGURATION_WATCH_SECONDS = 2.0
@@ -322,7 +325,11 @@
                 balancer.ping_agent(address)
             else:
                 balancer.ping(address)
-        await asyncio.sleep(max(0.0, interval - (time.monotonic() - began)))
+        while time.monotonic() - began < interval:
+            await asyncio.sleep(NEWCOMER_SECONDS)
+            agents = [address for address, is_agent in _others(balancer) if is_agent]
+            for address in balancer.pulses.newcomers(agents):
+                balancer.ping_agent(address)
 
 
 def _others(balancer: Balancer) -> list[tuple[str, bool]]:
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
@@ -23,6 +23,7 @@
 from cornelspan_passthrough.endpoint import Report
 from cornelspan_passthrough.heads import route_number
 from cornelspan_passthrough.members import AGENT, BALANCER, Member
+from cornelspan_passthrough.running_balancer import NEWCOMER_SECONDS
 from cornelspan_passthrough.settings import (
     AgentSettings,
     BalancerSettings,
@@ -85,6 +86,7 @@
         self.after(TICK_SECONDS, self._tick)
         self.after(0.0, self._ping)
         self.after(0.0, self._report)
+        self.after(0.0, self._ping_newcomers)
 
     # Time and datagrams
 
@@ -140,16 +142,15 @@
             self.after,
             random.Random(self.chance.random()),
         )
-        self.handlers[(address, APP_PORT)] = lambda data, _: self.endpoints[
-            address
-        ].receive(data)
         self.members[address] = Member(address, AGENT, "hall", service)
-        agent = self.restart_agent(address)
+        agent = self.start_agent(address)
         self.tell_members()
         return agent
 
-    def restart_agent(self, address: str) -> Agent:
+    def start_agent(self, address: str) -> Agent:
         """Start an agent anew beside its endpoint; it has forgotten everything."""
+        endpoint = self.endpoints[address]
+        self.handlers[(address, APP_PORT)] = lambda data, _: endpoint.receive(data)
         service = self.members[address].service
         settings = AgentSettings(
             **_daemon_settings(address),
@@ -238,6 +239,13 @@
                 balancer.ping_agent(member.address)
         self.after(PING_SECONDS, self._ping)
 
+    def _ping_newcomers(self) -> None:
+        for balancer in self.balancers.values():
+            agents = [member.address for member in balancer.members.agents()]
+            for address in balancer.pulses.newcomers(agents):
+                balancer.ping_agent(address)
+        self.after(NEWCOMER_SECONDS, self._ping_newcomers)
+
     def _report(self) -> None:
         for address, endpoint in self.endpoints.items():
             agent = self.agents.get(address)
--- a/tests/test_passthrough_flows.py
+++ b/tests/test_passthrough_flows.py
@@ -99,7 +99,7 @@
     client = world.open_flow(over=BALANCERS[0])
     world.run(0.2)
     owner = owner_of(world, client)
-    world.restart_agent(owner)
+    world.start_agent(owner)
     client.request()
     world.run(0.3)
     assert client.events == ["open", "answer", "answer"]
@@ -150,7 +150,7 @@
     """
     address = ORDERS[0]
     world.members[address] = world.members[RECEIPTS[0]]
-    world.restart_agent(address)
+    world.start_agent(address)
     world.endpoints[address].service = "receipts"
     clients = [world.open_flow(over=BALANCERS[0]) for _ in range(10)]
     world.run(0.3)
@@ -219,7 +219,7 @@
     world.run(0.2)
     for address in (*ORDERS, *RECEIPTS):
         world.endpoints[address].flows.clear()
-        world.restart_agent(address)
+        world.start_agent(address)
     world.move(client, over=BALANCERS[1])
     client.request()
     world.run(0.3)
@@ -245,3 +245,57 @@
     world.lost = lambda source, target, data: False
     world.run(3.0)
     assert client.events == ["open", "answer", "answer"]
+
+
+def test_a_first_packet_waits_for_an_agent_that_comes_up(world):
+    """The caller's flow opens before its own repeat after 200 ms.
+
+    All VMs have lost power, and the balancer is up first. A first packet sent to a VM
+    whose agent is not there yet would be lost, so it waits for the first answer.
+    """
+    for address in (*ORDERS, *RECEIPTS):
+        world.remove(address)
+    for address in BALANCERS:
+        world.add_balancer(address)
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.05)
+    for address in ORDERS:
+        world.start_agent(address)
+    world.run(0.1)
+    assert client.events[:1] == ["open"]
+
+
+def test_a_first_packet_that_no_agent_takes_is_refused(world):
+    """The caller is told after a second, in time for a try of its own.
+
+    All agents are gone for good and the balancer has just started.
+    """
+    for address in (*ORDERS, *RECEIPTS):
+        world.remove(address)
+    world.add_balancer(BALANCERS[0])
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(1.2)
+    assert client.events == ["refused"]
+
+
+def test_a_dead_flow_is_reset_as_soon_as_the_last_agent_is_up(world):
+    """The caller is told between its own repeats, 400 ms apart by then.
+
+    All VMs have lost power. The question that its packet raised could not reach the
+    last agent, which is asked again the moment it answers.
+    """
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.2)
+    late = ORDERS[0]
+    for address in (*ORDERS, *RECEIPTS):
+        world.endpoints[address].flows.clear()
+        world.remove(address)
+        if address != late:
+            world.start_agent(address)
+    world.add_balancer(BALANCERS[0])
+    client.request()
+    world.run(0.25)
+    assert client.events == ["open", "answer"]
+    world.start_agent(late)
+    world.run(0.25)
+    assert client.events == ["open", "answer", "reset"]
