Hold requests before a full endpoint, by priority and time left

Cause: after a disaster a crowd meets cold endpoints, which shed what they can neither run nor queue, whatever it is; callers spend their tries on it.

Change: the agent counts requests at its endpoint from packet heads. Beyond the slots and one more it holds a request's packets: the route's highest priority first, then the least time left, what can't be done in time last, what its caller has given up never. Repeats take no room. The first packet of a flow carries priority and time budget.

--- a/packages/cornelspan-control/src/cornelspan_control/store.py
+++ b/packages/cornelspan-control/src/cornelspan_control/store.py
@@ -73,6 +73,7 @@
         seed: int | None = None,
     ) -> None:
         self.settings = settings
+        self.tls = tls
         self.budget = CallBudget(settings.calls_per_second, seed=seed)
         self.random = self.budget.random
         scheme = "https" if tls else "http"
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -14,7 +14,12 @@
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.datagrams import DatagramSocket
 from cornelspan_passthrough.endpoint import Endpoint, Report
-from cornelspan_passthrough.flows import Directory, FlowTable, OwnedFlow
+from cornelspan_passthrough.flows import (
+    NO_REQUEST,
+    Directory,
+    FlowTable,
+    OwnedFlow,
+)
 from cornelspan_passthrough.heads import (
     BOUNCED,
     FIN,
@@ -29,6 +34,7 @@
 from cornelspan_passthrough.members import service_tag
 from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Ping, Pong
 from cornelspan_passthrough.settings import AgentSettings, socket_address
+from cornelspan_passthrough.waiting import Held, WaitingLine
 
 NO_HOMES = (hops.NOBODY, hops.NOBODY)
 # Questions that wait for the endpoint's word; it answers within its own round trip.
@@ -37,6 +43,9 @@
 # Flows are recorded a quarter longer than they may be open, so that no record ends
 # before its flow does.
 RECORD_MARGIN = 1.25
+# Requests at the endpoint beyond those it works on. With one, a slot that becomes free
+# is filled at once; each further one would wait where no priority counts.
+QUEUED_REQUESTS = 1
 
 log = get_log(__name__)
 
@@ -67,6 +76,7 @@
         kept = settings.flow_seconds * RECORD_MARGIN
         self.flows = FlowTable(kept)
         self.directory = Directory(kept)
+        self.waiting = WaitingLine()
         self.endpoint = Endpoint(settings.service, settings.report_milliseconds / 1000)
         self.tag = service_tag(settings.service)
         self.own_address = int(IPv4Address(settings.address))
@@ -116,7 +126,9 @@
         if refusal:
             self._refuse(head.flow, refusal, hop.packet, origin)
             return
-        self.flows.start(head.flow, origin, hop.homes, now)
+        owned = self.flows.start(head.flow, origin, hop.homes, now)
+        owned.priority = hop.priority
+        owned.budget_seconds = hop.budget_milliseconds / 1000
         self.counts["flows_offered"] += 1
         self._to_endpoint(hop.packet, hops.OPEN)
 
@@ -155,8 +167,7 @@
             if kind == hops.ASK:
                 self._tell_owner(head.flow, origin)
             owned.origin = origin
-            self.flows.sent(owned, head.acknowledged, head.length, now)
-            self._to_endpoint(packet, kind)
+            self._forward(head, owned, packet, now)
             return
         if not self._may_hold_unknown(now):
             self._say_not_here(head.flow, origin, packet)
@@ -164,6 +175,43 @@
         self._note_question(head.flow, origin, now)
         self._to_endpoint(packet, kind)
 
+    def _forward(self, head: Head, owned: OwnedFlow, packet: bytes, now: float) -> None:
+        """Hand a packet of a flow to the endpoint, or hold its request for room."""
+        if head.length and owned.request_at == NO_REQUEST:
+            if self.waiting.holds(head.flow):
+                self.waiting.add(head.flow, packet, head.sequence)
+                return
+            if self.flows.running >= self._room():
+                deadline = now + owned.budget_seconds
+                held = Held(owned.priority, deadline)
+                self.waiting.hold(head.flow, held, packet, head.sequence)
+                self.counts["requests_held"] += 1
+                return
+        elif head.flags & (FIN | RST):
+            self.waiting.remove(head.flow)
+        self.flows.sent(owned, head.acknowledged, head.length, now)
+        self._to_endpoint(packet, hops.DELIVER)
+
+    def _room(self) -> int:
+        """How many requests may be at the endpoint at once."""
+        return self.endpoint.capacity + QUEUED_REQUESTS
+
+    def _release(self, now: float) -> None:
+        """Hand over requests that wait, as far as there is room."""
+        while self.flows.running < self._room():
+            taken = self.waiting.take(now, self.flows.pace_seconds)
+            if taken is None:
+                return
+            flow, held = taken
+            owned = self.flows.get(flow)
+            if owned is None:
+                continue
+            for packet in held.packets.values():
+                head = self.codec.read_client(packet)
+                if head is not None:
+                    self.flows.sent(owned, head.acknowledged, head.length, now)
+                    self._to_endpoint(packet, hops.DELIVER)
+
     def _may_hold_unknown(self, now: float) -> bool:
         """Whether the endpoint may hold a flow that opened before this process did.
 
@@ -230,7 +278,7 @@
             self.settings.service,
             DOWN if self.stopping else endpoint.state,
             endpoint.capacity,
-            self.flows.running,
+            self.flows.running + len(self.waiting),
             len(self.flows),
             endpoint.cold_milliseconds(now),
             round(self.flows.pace_seconds * 1000),
@@ -258,6 +306,9 @@
         self.flows.answered(owned, head.length, now)
         if head.flags & (FIN | RST):
             owned.ended = True
+            self.flows.end_request(owned)
+            self.waiting.remove(head.flow)
+        self._release(now)
 
     def _learn(self, head: Head, now: float) -> OwnedFlow:
         """Take in a flow that opened before this process started."""
@@ -310,6 +361,7 @@
         tries again while there is time.
         """
         self.flows.remove(flow)
+        self.waiting.remove(flow)
         self.counts["dead_flows"] += 1
         log.info("flow dead, reset", extra={"flow": flow_text(flow), "reason": reason})
         packet = self.codec.reset(flow, owned.acknowledged)
@@ -359,6 +411,7 @@
     def sweep(self, now: float) -> None:
         """Forget what is too old."""
         self.flows.sweep(now)
+        self._release(now)
         self.directory.sweep(now)
         for flow in list(self.asked):
             if now - self.asked[flow][1] <= ASKED_SECONDS:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -204,7 +204,8 @@
         homes = [int(IPv4Address(home)) for home in self.homes.of(flow)]
         first, second = (*homes, hops.NOBODY, hops.NOBODY)[:2]
         priority = min(255, route.priority)
-        hop = hops.Open(priority, tag, (first, second), data)
+        budget = route.timeout_milliseconds
+        hop = hops.Open(priority, budget, tag, (first, second), data)
         self._send(owner, hops.encode_open(hop))
 
     def _refuse(self, flow: int, reason: str, **inputs: str | int) -> None:
@@ -455,7 +456,8 @@
 
     def ping_agent(self, address: str) -> None:
         """Ask an agent how it is."""
-        if self.pulses.of(address).unanswered == self.settings.pulse.missed_pings:
+        pulse = self.pulses.of(address)
+        if pulse.pong and pulse.unanswered == self.settings.pulse.missed_pings:
             log.info("agent lost", extra={"agent": address})
         self.pulses.asked(address)
         self.ping(address)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -3,6 +3,13 @@
 from dataclasses import dataclass, field
 
 NO_REQUEST = 0.0
+# A flow that opened before its agent was restarted: taken for one of the middle, so
+# that it neither pushes in nor starves.
+UNKNOWN_PRIORITY = 1
+UNKNOWN_BUDGET_SECONDS = 2.0
+# An endpoint that has not answered a request by now has lost it, or its client has
+# gone; counted on, it would take up room for good. Longer than usual time budgets.
+LOST_REQUEST_SECONDS = 5.0
 # The share of a new measure in the endpoint's pace.
 PACE_SHARE = 0.1
 # Late packets of a flow that has ended still go to the endpoint, which answers them.
@@ -15,7 +22,8 @@
     """One flow.
 
     ``origin`` is the balancer that its first packet came over and ``homes`` the agents
-    that record the owner. ``opened`` says that the endpoint surely holds it, as it has
+    that record the owner. ``priority`` and ``budget_seconds`` are the route's when the
+    flow opened. ``opened`` says that the endpoint surely holds it, as it has
     sent more than its answer to the first packet. ``acknowledged`` is what the client
     has acknowledged last. ``request_at`` is when a request began, ``NO_REQUEST`` for
     none. Times are of the loop's clock, in seconds.
@@ -25,6 +33,8 @@
     homes: tuple[int, int]
     used_at: float
     started_at: float
+    priority: int = UNKNOWN_PRIORITY
+    budget_seconds: float = UNKNOWN_BUDGET_SECONDS
     answered: bool = False
     opened: bool = False
     ended: bool = False
@@ -75,15 +85,20 @@
         owned.opened = True
         if length and owned.request_at != NO_REQUEST:
             took = now - owned.request_at
+            self.end_request(owned)
+            self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
+
+    def end_request(self, owned: OwnedFlow) -> None:
+        """Note that a flow's request no longer runs."""
+        if owned.request_at != NO_REQUEST:
             owned.request_at = NO_REQUEST
             self.running -= 1
-            self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
 
     def remove(self, flow: int) -> OwnedFlow | None:
         """Forget a flow and return it."""
         owned = self.by_flow.pop(flow, None)
-        if owned is not None and owned.request_at != NO_REQUEST:
-            self.running -= 1
+        if owned is not None:
+            self.end_request(owned)
         return owned
 
     def clear(self) -> list[tuple[int, OwnedFlow]]:
@@ -96,6 +111,8 @@
     def sweep(self, now: float) -> None:
         """Forget flows that have ended, or are too old to be spoken of."""
         for flow, owned in list(self.by_flow.items()):
+            if now - owned.request_at > LOST_REQUEST_SECONDS:
+                self.end_request(owned)
             kept = ENDED_SECONDS if owned.ended else self.flow_seconds
             if now - owned.used_at > kept:
                 self.remove(flow)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
@@ -35,7 +35,8 @@
 PASSED = 14
 
 FLOW_BYTES = 12
-OPEN_HEAD = struct.Struct("<BBIII")
+OPEN_HEAD = struct.Struct("<BBHIII")
+LONGEST_BUDGET = 65_535
 FLOW_HEAD = struct.Struct("<BB12sI")
 NOBODY = 0
 PASSED_HEAD = 5
@@ -45,11 +46,13 @@
     """A first packet on its way to an endpoint of a service.
 
     ``service_tag`` stands for the service that the balancer chose, ``priority`` is the
-    route's, 0 the highest. ``homes`` are the addresses of the agents that shall record
+    route's, 0 the highest, and ``budget_milliseconds`` how long a request on the flow
+    may take. ``homes`` are the addresses of the agents that shall record
     the owner, ``NOBODY`` for none.
     """
 
     priority: int
+    budget_milliseconds: int
     service_tag: int
     homes: tuple[int, int]
     packet: bytes
@@ -68,16 +71,17 @@
 def encode_open(hop: Open) -> bytes:
     """Return the datagram of a first packet."""
     first, second = hop.homes
-    head = OPEN_HEAD.pack(OPEN, hop.priority, hop.service_tag, first, second)
-    return head + hop.packet
+    budget = min(LONGEST_BUDGET, hop.budget_milliseconds)
+    tag = hop.service_tag
+    return OPEN_HEAD.pack(OPEN, hop.priority, budget, tag, first, second) + hop.packet
 
 
 def decode_open(data: bytes) -> Open | None:
     """Return the first packet that a datagram carries; None for a broken one."""
     if len(data) < OPEN_HEAD.size:
         return None
-    _, priority, tag, first, second = OPEN_HEAD.unpack_from(data)
-    return Open(priority, tag, (first, second), data[OPEN_HEAD.size :])
+    _, priority, budget, tag, first, second = OPEN_HEAD.unpack_from(data)
+    return Open(priority, budget, tag, (first, second), data[OPEN_HEAD.size :])
 
 
 def encode_packet(kind: int, packet: bytes) -> bytes:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/metrics.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/metrics.py
@@ -42,6 +42,9 @@
     values = {f"{name}_total": count for name, count in agent.counts.items()}
     values["flows"] = len(agent.flows)
     values["requests_running"] = agent.flows.running
+    values["requests_waiting"] = len(agent.waiting)
+    values["requests_expired_total"] = agent.waiting.expired
+    values["repeats_dropped_total"] = agent.waiting.repeats
     values["recorded_owners"] = len(agent.directory)
     values["pace_seconds"] = agent.flows.pace_seconds
     values["endpoint_state"] = agent.endpoint.state
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -318,7 +318,7 @@
         interval = max(least, len(addresses) / pulse.pings_per_second)
         began = time.monotonic()
         if suspensions.has_been_suspended():
-            log.warning("this VM was suspended; doubting no agent")
+            log.warning("this VM was suspended")
             balancer.pulses.doubt_nothing()
         for address, is_agent in addresses:
             if is_agent:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
@@ -19,6 +19,10 @@
 # seconds of the store's return.
 FIRST_WAIT_SECONDS = 0.1
 LONGEST_WAIT_SECONDS = 1.0
+# Nothing is served until the first reading, so it is tried more often: 5 calls a second
+# from each balancer, which 400 balancers without a configuration would still fit into
+# the rate of reads.
+FIRST_READING_WAIT_SECONDS = 0.2
 JITTER = 0.5
 
 log = get_log(__name__)
@@ -99,9 +103,10 @@
         """Begin anew with the shortest wait."""
         self.seconds = FIRST_WAIT_SECONDS
 
-    async def wait(self) -> None:
-        """Wait, longer each time."""
-        await asyncio.sleep(self.seconds * (1 + JITTER * self.chance.random()))
+    async def wait(self, longest: float = LONGEST_WAIT_SECONDS) -> None:
+        """Wait, longer each time up to a limit in seconds."""
+        seconds = min(longest, self.seconds)
+        await asyncio.sleep(seconds * (1 + JITTER * self.chance.random()))
         self.seconds = min(LONGEST_WAIT_SECONDS, self.seconds * 2)
 
 
@@ -121,11 +126,13 @@
     """
     revision = 0
     lost = False
+    has_read = False
     while True:
         done = await (watch(revision) if revision else read())
         match done:
             case Ok(revision):
                 backoff.succeeded()
+                has_read = True
                 if lost:
                     log.info("store regained", extra={"subject": subject})
                 lost = False
@@ -137,4 +144,7 @@
                     extra = {"subject": subject, "reason": str(error)}
                     log.warning("store lost", extra=extra)
                 lost = True
-                await backoff.wait()
+                longest = (
+                    LONGEST_WAIT_SECONDS if has_read else FIRST_READING_WAIT_SECONDS
+                )
+                await backoff.wait(longest)
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
@@ -0,0 +1,97 @@
+"""Requests that wait at an agent for room at its endpoint.
+
+The load pattern it answers: a crowd. After a disaster, or when many users come at once,
+an endpoint gets more requests than it works on and queues; it sheds the rest, whatever
+they are, and their callers come back at once. Held here instead, they go out when there
+is room: the route's highest priority first, then those with the least time left.
+
+    line = WaitingLine()
+    line.hold(flow, Held(priority=1, deadline=12.5), packet, sequence)
+    line.take(now=11.0, pace_seconds=0.04)
+"""
+
+from dataclasses import dataclass, field
+
+# A flow's ends have at most this many packets in flight.
+FLOW_PACKETS = 16
+# Requests held at once. At two slots and 40 ms this is more than what any time budget
+# of some seconds lets through; beyond it the longest wait is given up first.
+LIMIT = 512
+
+
+@dataclass(slots=True)
+class Held:
+    """One flow's request that waits.
+
+    ``priority`` is the route's, 0 the highest. ``deadline`` is when its caller gives
+    up, in seconds of the loop's clock. ``packets`` are by sequence number, so a
+    caller's repeat takes no room.
+    """
+
+    priority: int
+    deadline: float
+    packets: dict[int, bytes] = field(default_factory=dict)
+
+
+@dataclass
+class WaitingLine:
+    """The requests that wait, by flow."""
+
+    by_flow: dict[int, Held] = field(default_factory=dict)
+    repeats: int = 0
+    expired: int = 0
+
+    def __len__(self) -> int:
+        return len(self.by_flow)
+
+    def holds(self, flow: int) -> bool:
+        """Whether a request of a flow waits."""
+        return flow in self.by_flow
+
+    def hold(self, flow: int, held: Held, packet: bytes, sequence: int) -> None:
+        """Let a request wait, by its first packet."""
+        if len(self.by_flow) >= LIMIT:
+            del self.by_flow[next(iter(self.by_flow))]
+            self.expired += 1
+        held.packets[sequence] = packet
+        self.by_flow[flow] = held
+
+    def add(self, flow: int, packet: bytes, sequence: int) -> None:
+        """Keep a further packet of a request that waits; drop the caller's repeats."""
+        packets = self.by_flow[flow].packets
+        if sequence in packets or len(packets) >= FLOW_PACKETS:
+            self.repeats += 1
+            return
+        packets[sequence] = packet
+
+    def remove(self, flow: int) -> None:
+        """Forget a flow that has ended."""
+        self.by_flow.pop(flow, None)
+
+    def clear(self) -> None:
+        """Forget all."""
+        self.by_flow.clear()
+
+    def take(self, now: float, pace_seconds: float) -> tuple[int, Held] | None:
+        """Take the request that shall run next, None if none waits.
+
+        One whose caller has given up is forgotten: run now, it would take a slot for an
+        answer that nobody reads. One that can't be done in its time comes after all
+        that can, or a crowd's oldest would each run just too late.
+        """
+        self._forget_expired(now)
+        if not self.by_flow:
+            return None
+        soonest = now + pace_seconds
+
+        def order(flow: int) -> tuple[bool, int, float]:
+            held = self.by_flow[flow]
+            return held.deadline < soonest, held.priority, held.deadline
+
+        flow = min(self.by_flow, key=order)
+        return flow, self.by_flow.pop(flow)
+
+    def _forget_expired(self, now: float) -> None:
+        for flow in [f for f, held in self.by_flow.items() if held.deadline <= now]:
+            del self.by_flow[flow]
+            self.expired += 1
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
@@ -96,6 +96,11 @@
     accepts: bool = True
     alive: bool = True
     flows: dict[tuple[int, int], HeldFlow] = field(default_factory=dict)
+    slots: int = 1000
+    queue: int = 0
+    running: int = 0
+    queued: list[Callable[[], None]] = field(default_factory=list)
+    shed: int = 0
     opened: int = 0
     bounced: int = 0
 
@@ -112,7 +117,7 @@
             self._bounce(data)
         elif packet.data and packet.sequence > held.answered:
             held.answered = packet.sequence
-            self.after(self.work_seconds, lambda: self._answer(key, packet))
+            self._take(lambda: self._answer(key, packet))
 
     def crash(self) -> None:
         """Lose all flows and say nothing more."""
@@ -144,6 +149,22 @@
         self.opened += 1
         return True
 
+    def _take(self, answer: Callable[[], None]) -> None:
+        """Work on a request, queue it, or shed it and never answer."""
+        if self.running < self.slots:
+            self.running += 1
+            self.after(self.work_seconds, lambda: self._done(answer))
+        elif len(self.queued) < self.queue:
+            self.queued.append(answer)
+        else:
+            self.shed += 1
+
+    def _done(self, answer: Callable[[], None]) -> None:
+        self.running -= 1
+        answer()
+        if self.queued:
+            self._take(self.queued.pop(0))
+
     def _answer(self, key: tuple[int, int], packet: WirePacket) -> None:
         if self.alive and key in self.flows:
             data = b"ran " + packet.data
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
@@ -44,6 +44,7 @@
 TICK_SECONDS = 0.02
 PING_SECONDS = 0.2
 REPORT_SECONDS = 0.8
+REPORTED_CAPACITY = 2
 
 Address = tuple[str, int]
 Lost = Callable[[Address, Address, bytes], bool]
@@ -254,7 +255,9 @@
             sequence = self.sequences.get(address, 0) + 1
             self.sequences[address] = sequence
             draining = not endpoint.accepts
-            report = Report(f"i-{address}", endpoint.service, sequence, 2, draining, 0)
+            capacity = min(endpoint.slots, REPORTED_CAPACITY)
+            life = f"i-{address}"
+            report = Report(life, endpoint.service, sequence, capacity, draining, 0)
             agent.report(report, self.now)
         self.after(REPORT_SECONDS, self._report)
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -20,7 +20,8 @@
 
 def alarms():
     """Return the events that the packages log as warnings or errors."""
-    for module in ROOT.glob("packages/*/src/**/*.py"):
+    modules = [*ROOT.glob("packages/*/src/**/*.py"), *ROOT.glob("platform/**/*.py")]
+    for module in modules:
         for node in ast.walk(ast.parse(module.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
                 continue
--- /dev/null
+++ b/tests/test_passthrough_waiting.py
@@ -0,0 +1,69 @@
+"""The line of requests before a full endpoint."""
+
+from cornelspan_passthrough.waiting import LIMIT, Held, WaitingLine
+from cornelspan_standins.packet_world import PacketWorld
+
+BALANCER = "10.1.0.10"
+AGENT = "10.1.0.11"
+
+
+def held(priority, deadline):
+    return Held(priority=priority, deadline=deadline)
+
+
+def test_the_highest_priority_goes_first_then_the_least_time_left():
+    line = WaitingLine()
+    line.hold(1, held(2, 10.0), b"a", 1)
+    line.hold(2, held(1, 12.0), b"b", 1)
+    line.hold(3, held(1, 11.0), b"c", 1)
+    assert [line.take(0.0, 0.1)[0] for _ in range(3)] == [3, 2, 1]
+    assert line.take(0.0, 0.1) is None
+
+
+def test_what_cannot_be_done_in_time_goes_last():
+    line = WaitingLine()
+    line.hold(1, held(0, 1.05), b"a", 1)
+    line.hold(2, held(1, 5.0), b"b", 1)
+    assert [line.take(1.0, 0.1)[0] for _ in range(2)] == [2, 1]
+
+
+def test_a_request_whose_caller_gave_up_is_never_run():
+    line = WaitingLine()
+    line.hold(1, held(0, 1.0), b"a", 1)
+    assert line.take(1.5, 0.1) is None
+    assert line.expired == 1
+
+
+def test_repeats_take_no_room():
+    line = WaitingLine()
+    line.hold(1, held(0, 9.0), b"a", 100)
+    line.add(1, b"a", 100)
+    line.add(1, b"b", 200)
+    _, request = line.take(0.0, 0.1)
+    assert list(request.packets.values()) == [b"a", b"b"]
+    assert line.repeats == 1
+
+
+def test_the_line_is_bounded():
+    line = WaitingLine()
+    for flow in range(LIMIT + 5):
+        line.hold(flow, held(0, 9.0), b"a", 1)
+    assert len(line) == LIMIT
+
+
+def test_a_crowd_is_served_without_being_shed():
+    """Callers of a crowd get their answers, all of them within their time budget.
+
+    Forty flows open at one endpoint of two slots and a short queue. It sheds what it
+    can neither run nor queue; the agent holds their requests until there is room.
+    """
+    world = PacketWorld(seed=1)
+    world.add_agent(AGENT, "orders")
+    world.endpoints[AGENT].slots = 2
+    world.endpoints[AGENT].queue = 3
+    world.add_balancer(BALANCER)
+    world.run(1.0)
+    clients = [world.open_flow(over=BALANCER) for _ in range(40)]
+    world.run(1.5)
+    assert world.endpoints[AGENT].shed == 0
+    assert all(client.events == ["open", "answer"] for client in clients)
