--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -31,6 +31,7 @@
     client_address,
     flow_text,
 )
+from cornelspan_passthrough.histograms import Histogram
 from cornelspan_passthrough.members import service_tag
 from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Ping, Pong
 from cornelspan_passthrough.settings import AgentSettings, socket_address
@@ -77,6 +78,7 @@
         self.flows = FlowTable(kept)
         self.directory = Directory(kept)
         self.waiting = WaitingLine()
+        self.waiting_times = Histogram()
         self.endpoint = Endpoint(settings.service, settings.report_milliseconds / 1000)
         self.tag = service_tag(settings.service)
         self.own_address = int(IPv4Address(settings.address))
@@ -183,7 +185,7 @@
                 return
             if self.flows.running >= self._room():
                 deadline = now + owned.budget_seconds
-                held = Held(owned.priority, deadline)
+                held = Held(owned.priority, deadline, now)
                 self.waiting.hold(head.flow, held, packet, head.sequence)
                 self.counts["requests_held"] += 1
                 return
@@ -206,6 +208,7 @@
             owned = self.flows.get(flow)
             if owned is None:
                 continue
+            self.waiting_times.observe(now - held.since)
             for packet in held.packets.values():
                 head = self.codec.read_client(packet)
                 if head is not None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -32,6 +32,7 @@
     client_address,
     flow_text,
 )
+from cornelspan_passthrough.histograms import Histogram
 from cornelspan_passthrough.homes import Homes
 from cornelspan_passthrough.members import AGENT, BALANCER, Member, Members, service_tag
 from cornelspan_passthrough.openings import HELD_SECONDS, Opening, Openings
@@ -72,6 +73,7 @@
 
     def __post_init__(self) -> None:
         self.owners = Learned(self.settings.learned_flows)
+        self.search_times = Histogram()
         self.pulses = Pulses(self.settings.pulse.missed_pings)
         self.client_port = socket_address(self.settings.packets)[1]
 
@@ -263,12 +265,13 @@
             if address in search.asked and address not in search.without:
                 self._ask(search, [address])
 
-    def _found(self, flow: int, owner: str) -> None:
+    def _found(self, flow: int, owner: str, now: float) -> None:
         """Send what has waited to the owner; the question's packet is there already."""
         self.owners.learn(flow, owner)
         search = self.searches.end(flow)
         if search is None:
             return
+        self.search_times.observe(now - search.started_at)
         if search.asked:
             self._correct_homes(flow, owner)
         for packet in search.waiting:
@@ -347,7 +350,7 @@
         if note.kind == hops.OWNED:
             owner = address_text(note.agent)
             self.openings.confirm(note.flow, owner)
-            self._found(note.flow, owner)
+            self._found(note.flow, owner, now)
         elif note.kind == hops.UNKNOWN:
             search = self.searches.get(note.flow)
             if search is not None and not search.asked:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from cornelspan_passthrough.histograms import Histogram
+
 NO_REQUEST = 0.0
 # A flow that opened before its agent was restarted: taken for one of the middle, so
 # that it neither pushes in nor starves.
@@ -50,6 +52,7 @@
     by_flow: dict[int, OwnedFlow] = field(default_factory=dict)
     running: int = 0
     pace_seconds: float = 0.0
+    answer_times: Histogram = field(default_factory=Histogram)
 
     def __len__(self) -> int:
         return len(self.by_flow)
@@ -86,6 +89,7 @@
         if length and owned.request_at != NO_REQUEST:
             took = now - owned.request_at
             self.end_request(owned)
+            self.answer_times.observe(took)
             self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
 
     def end_request(self, owned: OwnedFlow) -> None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/metrics.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/metrics.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
+from cornelspan_passthrough.histograms import Histogram
 from cornelspan_passthrough.http import Answer
 
 if TYPE_CHECKING:
@@ -17,9 +18,13 @@
 PREFIX = "cornelspan_"
 
 
-def metrics_text(values: Mapping[str, float]) -> bytes:
-    """Return values as lines of text, by name."""
+def metrics_text(
+    values: Mapping[str, float], histograms: Mapping[str, Histogram]
+) -> bytes:
+    """Return values and histograms as lines of text, by name."""
     lines = [f"{PREFIX}{name} {value}" for name, value in sorted(values.items())]
+    for name, histogram in sorted(histograms.items()):
+        lines += histogram.lines(f"{PREFIX}{name}")
     return "\n".join([*lines, ""]).encode()
 
 
@@ -34,7 +39,8 @@
     values["datagrams_dropped_total"] = (
         balancer.clients.dropped + balancer.daemons.dropped
     )
-    return Answer(200, metrics_text(values))
+    histograms = {"search_seconds": balancer.search_times}
+    return Answer(200, metrics_text(values, histograms))
 
 
 def agent_page(agent: "Agent") -> Answer:
@@ -49,4 +55,8 @@
     values["pace_seconds"] = agent.flows.pace_seconds
     values["endpoint_state"] = agent.endpoint.state
     values["datagrams_dropped_total"] = agent.local.dropped + agent.daemons.dropped
-    return Answer(200, metrics_text(values))
+    histograms = {
+        "answer_seconds": agent.flows.answer_times,
+        "waiting_seconds": agent.waiting_times,
+    }
+    return Answer(200, metrics_text(values, histograms))
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
@@ -23,13 +23,14 @@
 class Held:
     """One flow's request that waits.
 
-    ``priority`` is the route's, 0 the highest. ``deadline`` is when its caller gives
-    up, in seconds of the loop's clock. ``packets`` are by sequence number, so a
-    caller's repeat takes no room.
+    ``priority`` is the route's, 0 the highest. ``deadline`` is when its caller gives up
+    and ``since`` when it began to wait, in seconds of the loop's clock. ``packets`` are
+    by sequence number, so a caller's repeat takes no room.
     """
 
     priority: int
     deadline: float
+    since: float
     packets: dict[int, bytes] = field(default_factory=dict)
 
 
--- a/tests/test_passthrough_waiting.py
+++ b/tests/test_passthrough_waiting.py
@@ -8,7 +8,7 @@
 
 
 def held(priority, deadline):
-    return Held(priority=priority, deadline=deadline)
+    return Held(priority=priority, deadline=deadline, since=0.0)
 
 
 def test_the_highest_priority_goes_first_then_the_least_time_left():
