Give up waiting for silent agents; remove entries of VMs that are gone

Change: an agent that has been silent for two seconds is no longer waited for, provided that at least half of all agents have said no themselves. An entry of a member that has been silent for a minute is removed, by one balancer that all agree on.

--- a/packages/cornelspan-cli/src/cornelspan_cli/settings_page.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/settings_page.py
@@ -13,6 +13,10 @@
 
 from cornelspan_common.settings import AgentSettings, BalancerSettings, Checked
 from cornelspan_control.profiles import Profile, Service
+from cornelspan_passthrough.settings import (
+    PassthroughAgentSettings,
+    PassthroughBalancerSettings,
+)
 
 INTRODUCTION = """\
 # Settings
@@ -28,6 +32,8 @@
 TOP_LEVEL: tuple[type[Checked], ...] = (
     BalancerSettings,
     AgentSettings,
+    PassthroughBalancerSettings,
+    PassthroughAgentSettings,
     Profile,
     Service,
 )
--- a/packages/cornelspan-daemon/src/cornelspan_daemon/main.py
+++ b/packages/cornelspan-daemon/src/cornelspan_daemon/main.py
@@ -12,13 +12,25 @@
 from cornelspan_common.settings import (
     AgentSettings,
     BalancerSettings,
+    Checked,
     DaemonSettings,
     load_settings,
 )
 from cornelspan_common.tls import Tls, open_tls
 from cornelspan_daemon.running import run_agent, run_balancer
+from cornelspan_passthrough.settings import (
+    PassthroughAgentSettings,
+    PassthroughBalancerSettings,
+)
 
 BAD_SETTINGS = 2
+Role = Literal["balancer", "agent", "passthrough-balancer", "passthrough-agent"]
+KINDS: dict[str, type[Checked]] = {
+    "balancer": BalancerSettings,
+    "agent": AgentSettings,
+    "passthrough-balancer": PassthroughBalancerSettings,
+    "passthrough-agent": PassthroughAgentSettings,
+}
 DaemonType = TypeVar("DaemonType", bound=DaemonSettings)
 SettingsFile = Annotated[
     str, cappa.Arg(long="--settings", help="Path of a JSON settings file.")
@@ -71,15 +83,12 @@
     Example: cornelspand check balancer --settings examples/balancer-1.json
     """
 
-    role: Annotated[
-        Literal["balancer", "agent"], cappa.Arg(help="Whose settings the file holds.")
-    ]
+    role: Annotated[Role, cappa.Arg(help="Whose settings the file holds.")]
     settings: SettingsFile
 
     def __call__(self) -> int:
         """Report the first field at fault."""
-        kind = BalancerSettings if self.role == "balancer" else AgentSettings
-        match load_settings(self.settings, kind):
+        match load_settings(self.settings, KINDS[self.role]):
             case Ok(_):
                 print(f"{self.settings}: good settings of a {self.role}")
                 return 0
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -34,7 +34,7 @@
 from cornelspan_passthrough.histograms import Histogram
 from cornelspan_passthrough.members import service_tag
 from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Ping, Pong
-from cornelspan_passthrough.settings import AgentSettings, socket_address
+from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
 from cornelspan_passthrough.waiting import Held, WaitingLine
 
 NO_HOMES = (hops.NOBODY, hops.NOBODY)
@@ -60,7 +60,7 @@
     doubt, the balancer that asked and when. ``balancers`` are those that have pinged.
     """
 
-    settings: AgentSettings
+    settings: PassthroughAgentSettings
     codec: PacketCodec
     local: DatagramSocket
     daemons: DatagramSocket
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -37,14 +37,17 @@
 from cornelspan_passthrough.members import AGENT, BALANCER, Member, Members, service_tag
 from cornelspan_passthrough.openings import HELD_SECONDS, Opening, Openings
 from cornelspan_passthrough.placing import Candidate, choose, takes_flows
+from cornelspan_passthrough.pruning import Silences, is_pruner
 from cornelspan_passthrough.pulses import Hello, Ping, Pong, Pulses
-from cornelspan_passthrough.settings import BalancerSettings, socket_address
+from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
 
 # A first packet that this many endpoints have turned away is answered by a reset: the
 # client then tries again with a new flow, while a further endpoint would be asked after
 # the client's own repeat.
 OPEN_TRIES = 4
 NEVER_OPEN = 0
+# Balancers ping each other at the pace of their fleet, some seconds apart at the most.
+BALANCER_SILENT_SECONDS = 10.0
 
 log = get_log(__name__)
 
@@ -53,7 +56,7 @@
 class Balancer:
     """State and decisions of one balancer; its sockets are set when it runs."""
 
-    settings: BalancerSettings
+    settings: PassthroughBalancerSettings
     codec: PacketCodec
     clients: DatagramSocket
     daemons: DatagramSocket
@@ -65,6 +68,7 @@
     searches: Searches = field(default_factory=Searches)
     counts: Counter[str] = field(default_factory=Counter)
     by_service: dict[str, list[str]] = field(default_factory=dict)
+    heard_balancers: dict[str, float] = field(default_factory=dict)
     newest_version: int = 0
     newest_peer: str = ""
     stopping: bool = False
@@ -74,6 +78,7 @@
     def __post_init__(self) -> None:
         self.owners = Learned(self.settings.learned_flows)
         self.search_times = Histogram()
+        self.silences = Silences()
         self.pulses = Pulses(self.settings.pulse.missed_pings)
         self.client_port = socket_address(self.settings.packets)[1]
 
@@ -296,8 +301,7 @@
             # last, and the client takes up either.
             search.homes.clear()
             self._ask_next(flow, search, now)
-        if search.is_exhausted:
-            self._end_dead_flow(flow, search)
+        self._end_if_dead(flow, search, now)
 
     def _lost_owner(self, flow: int, agent: str, packet: bytes, now: float) -> None:
         """Search anew for the owner of a flow that is not where it was thought."""
@@ -312,14 +316,21 @@
         self.searches.start(flow, search)
         self._ask_next(flow, search, now)
 
-    def _end_dead_flow(self, flow: int, search: Search) -> None:
+    def _end_if_dead(self, flow: int, search: Search, now: float) -> None:
         """Reset a flow that no endpoint holds.
 
         Its client would repeat packets until its time budget ends. Each agent has said
-        so itself, and a member that has not blocks this, so no living flow is met.
+        so itself, or has been silent for so long that its VM serves nobody, so no flow
+        that could be served is met.
         """
+        if not search.is_exhausted(lambda address: self.pulses.is_lost(address, now)):
+            return
         self.searches.end(flow)
-        extra = {"flow": flow_text(flow), "agents": len(search.asked)}
+        extra = {
+            "flow": flow_text(flow),
+            "agents": len(search.asked),
+            "silent": len(search.asked - search.without),
+        }
         log.info("flow dead, reset", extra=extra)
         self.counts["dead_flows"] += 1
         self.reset(flow, search.acknowledged)
@@ -332,7 +343,7 @@
         if kind == hops.PONG:
             self._pong(data, now)
         elif kind == hops.PING:
-            self._ping(data)
+            self._ping(data, now)
         elif kind in (hops.REFUSED, hops.NOT_HERE, hops.OWNED, hops.UNKNOWN):
             note = hops.decode_note(data)
             if note is None:
@@ -340,7 +351,7 @@
                 return
             self._note(note, sender, now)
         elif kind == hops.HELLO:
-            self._hello(data, sender)
+            self._hello(data, sender, now)
         elif kind == hops.GONE:
             self._gone(sender)
         else:
@@ -408,13 +419,14 @@
         if self.members.tell(member):
             self.members_changed()
 
-    def _ping(self, data: bytes) -> None:
+    def _ping(self, data: bytes, now: float) -> None:
         """Take another balancer's ping: it tells the newest version it knows."""
         try:
             ping = msgspec.msgpack.decode(data[1:], type=Ping)
         except msgspec.DecodeError:
             self.counts["broken_datagrams"] += 1
             return
+        self.heard_balancers[ping.address] = now
         if ping.version > self.newest_version:
             self.newest_version = ping.version
             self.newest_peer = ping.address
@@ -422,7 +434,7 @@
             member = Member(ping.address, BALANCER, "", "")
             self.members.tell(member)
 
-    def _hello(self, data: bytes, sender: str) -> None:
+    def _hello(self, data: bytes, sender: str, now: float) -> None:
         try:
             hello = msgspec.msgpack.decode(data[1:], type=Hello)
         except msgspec.DecodeError:
@@ -430,7 +442,7 @@
             return
         member = Member(hello.address, hello.role, hello.datacentre, hello.service)
         if member.role == AGENT:
-            self.ping_agent(member.address)
+            self.ping_agent(member.address, now)
         if not self.members.tell(member):
             return
         log.info("daemon spoke up", extra={"address": hello.address})
@@ -457,12 +469,12 @@
         for member in agents:
             self.by_service.setdefault(member.service, []).append(member.address)
 
-    def ping_agent(self, address: str) -> None:
+    def ping_agent(self, address: str, now: float) -> None:
         """Ask an agent how it is."""
         pulse = self.pulses.of(address)
         if pulse.pong and pulse.unanswered == self.settings.pulse.missed_pings:
             log.info("agent lost", extra={"agent": address})
-        self.pulses.asked(address)
+        self.pulses.asked(address, now)
         self.ping(address)
 
     def ping(self, address: str) -> None:
@@ -491,12 +503,43 @@
             for member in self.members.agents()
         )
 
+    def update_silences(self, now: float) -> None:
+        """Take in which members answer now and which don't."""
+        present: set[str] = {self.settings.address}
+        for member in self.members.agents():
+            if self.pulses.is_answering(member.address):
+                present.add(member.address)
+        for address, heard_at in self.heard_balancers.items():
+            if now - heard_at < BALANCER_SILENT_SECONDS:
+                present.add(address)
+        absent = {member.address for member in self.members.all()} - present
+        self.silences.update(present, absent, now)
+
+    def entries_to_remove(self, now: float) -> list[str]:
+        """Return the entries of members that are gone and this balancer's to remove.
+
+        While half of the members or more are silent nobody is taken for gone: then it
+        is more likely that this process can't be heard.
+        """
+        if 2 * len(self.silences.since) >= len(self.members.all()):
+            return []
+        peers = [
+            member.address
+            for member in self.members.balancers()
+            if member.address not in self.silences.since
+        ]
+        own = self.settings.address
+        gone = self.silences.gone(now)
+        return [address for address in gone if is_pruner(own, peers, address)]
+
     def tick(self, now: float) -> None:
         """Go on with searches that wait for a home, and forget what is too old."""
         for flow in self.searches.overdue(now):
             search = self.searches.get(flow)
             if search is not None:
                 self._ask_next(flow, search, now)
+        for flow, search in list(self.searches.by_flow.items()):
+            self._end_if_dead(flow, search, now)
         self.searches.sweep(now)
         self._place_held(now)
         self.openings.sweep(now)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/finding.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/finding.py
@@ -2,9 +2,11 @@
 
 A balancer asks the flow's homes one after the other, then all agents, each with the
 packet itself. Only when every agent has said that its endpoint does not hold the flow
-is it known to be dead. A single silent agent leaves it open: the flow may live there.
+is it taken to be dead. A silent agent leaves it open, as the flow may live there, until
+that agent has been silent for too long to serve anybody.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 # A home that lives answers within a round trip, a few milliseconds; after this the next
@@ -41,10 +43,16 @@
         if len(self.waiting) < KEPT_PACKETS:
             self.waiting.append(packet)
 
-    @property
-    def is_exhausted(self) -> bool:
-        """Whether every agent has said that its endpoint doesn't hold the flow."""
-        return bool(self.asked) and self.asked <= self.without
+    def is_exhausted(self, is_lost: Callable[[str], bool]) -> bool:
+        """Whether no agent that could still serve the flow is left.
+
+        At least half of all must have said so themselves: with most of them silent, it
+        is this process that can't be heard, and the flow may live.
+        """
+        said = self.asked & self.without
+        if not said or 2 * len(said) < len(self.asked):
+            return False
+        return all(is_lost(address) for address in self.asked - self.without)
 
 
 @dataclass
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
@@ -11,6 +11,13 @@
 # An agent that has never answered is asked this often in quick succession, for three
 # seconds in steps of 50 ms, then at the usual pace.
 NEWCOMER_PINGS = 60
+# An agent that has been silent for this long is no longer waited for when the owner of
+# a flow is sought. A restart beside a living endpoint takes about a second. A VM that
+# is dark or cut off for longer can't serve its flows within their time budgets of a
+# second or two, and their clients are better told so. One that never answered since
+# this process started is given up a little sooner.
+LOST_SECONDS = 2.0
+NEVER_HEARD_SECONDS = 1.5
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True):
@@ -61,6 +68,7 @@
     agent since the state of its last answer.
     """
 
+    first_asked_at: float | None = None
     pong: Pong | None = None
     answered_at: float = 0.0
     unanswered: int = 0
@@ -83,9 +91,12 @@
             self.by_address[address] = pulse
         return pulse
 
-    def asked(self, address: str) -> None:
+    def asked(self, address: str, now: float) -> None:
         """Count a ping that is on its way."""
-        self.of(address).unanswered += 1
+        pulse = self.of(address)
+        pulse.unanswered += 1
+        if pulse.first_asked_at is None:
+            pulse.first_asked_at = now
 
     def answered(self, pong: Pong, now: float) -> bool:
         """Take in an answer; return whether the agent had been taken for gone."""
@@ -101,6 +112,15 @@
         """Whether an agent is taken for alive."""
         return self.of(address).unanswered <= self.missed_pings
 
+    def is_lost(self, address: str, now: float) -> bool:
+        """Whether an agent has been silent for too long to be waited for."""
+        pulse = self.of(address)
+        if pulse.unanswered <= self.missed_pings or pulse.first_asked_at is None:
+            return False
+        if pulse.pong is None:
+            return now - pulse.first_asked_at > NEVER_HEARD_SECONDS
+        return now - pulse.answered_at > LOST_SECONDS
+
     def doubt_nothing(self) -> None:
         """Forget unanswered pings.
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -20,7 +20,7 @@
 from cornelspan_passthrough.metrics import agent_page
 from cornelspan_passthrough.pulses import DOWN, Hello
 from cornelspan_passthrough.running_balancer import list_member
-from cornelspan_passthrough.settings import AgentSettings, socket_address
+from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
 from cornelspan_passthrough.store import Backoff, PlatformStore
 
 SWEEP_SECONDS = 2.0
@@ -30,6 +30,9 @@
 # Without a ping for this long, or unlisted in the pings for this long, an agent lists
 # itself anew: its entry may have been taken away.
 UNHEARD_SECONDS = 3.0
+# With no balancer alive, each try doubles the wait up to this, so that a fleet of
+# thousands writes no more than some hundred times a second.
+LONGEST_UNHEARD_SECONDS = 30.0
 LISTING_SECONDS = 1.0
 # Time for other daemons to hear that this one stops.
 STOP_SECONDS = 0.1
@@ -56,7 +59,7 @@
 
 
 async def run_agent(
-    settings: AgentSettings,
+    settings: PassthroughAgentSettings,
     codec: PacketCodec,
     store: PlatformStore,
     read_call: ReadCall,
@@ -98,7 +101,7 @@
 
 
 def open_agent(
-    settings: AgentSettings, codec: PacketCodec, sockets: ExitStack
+    settings: PassthroughAgentSettings, codec: PacketCodec, sockets: ExitStack
 ) -> Agent:
     """Open an agent's sockets and return its state."""
     now = asyncio.get_running_loop().time
@@ -144,21 +147,27 @@
     greeting = asyncio.create_task(_greet(agent))
     try:
         await list_member(store, member, backoff)
+        patience = UNHEARD_SECONDS
         while True:
             await asyncio.sleep(LISTING_SECONDS)
-            if _seems_unlisted(agent):
-                await list_member(store, member, backoff)
-                agent.unlisted_at = None
-                agent.pinged_at = asyncio.get_running_loop().time()
+            if not _seems_unlisted(agent, patience):
+                continue
+            heard_at = agent.pinged_at
+            await list_member(store, member, backoff)
+            agent.unlisted_at = None
+            is_unheard = agent.pinged_at == heard_at
+            patience = min(LONGEST_UNHEARD_SECONDS, patience * 2)
+            patience = patience if is_unheard else UNHEARD_SECONDS
+            agent.pinged_at = asyncio.get_running_loop().time()
     finally:
         greeting.cancel()
 
 
-def _seems_unlisted(agent: Agent) -> bool:
+def _seems_unlisted(agent: Agent, patience: float) -> bool:
     now = asyncio.get_running_loop().time()
     if agent.unlisted_at is not None and now - agent.unlisted_at > LISTING_SECONDS:
         return True
-    return now - max(agent.pinged_at, agent.started_at) > UNHEARD_SECONDS
+    return now - max(agent.pinged_at, agent.started_at) > patience
 
 
 async def _greet(agent: Agent) -> None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -21,7 +21,7 @@
 from cornelspan_passthrough.members import BALANCER, Member
 from cornelspan_passthrough.metrics import balancer_page
 from cornelspan_passthrough.pulses import Hello
-from cornelspan_passthrough.settings import BalancerSettings, socket_address
+from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
 from cornelspan_passthrough.store import (
     Backoff,
     FollowError,
@@ -51,6 +51,7 @@
 # What is left of the time that a stop may take, for the process to end by itself.
 STOP_MARGIN_SECONDS = 1.0
 HELLO_SECONDS = 1.0
+PRUNE_SECONDS = 5.0
 
 ReadyPath = Callable[[Call], bool]
 
@@ -65,7 +66,7 @@
 
 
 async def run_balancer(
-    settings: BalancerSettings,
+    settings: PassthroughBalancerSettings,
     codec: PacketCodec,
     store: PlatformStore,
     asks_readiness: ReadyPath,
@@ -113,6 +114,7 @@
             tasks.start(_ping(balancer), name="pings")
             tasks.start(_greet(balancer), name="greeting")
             tasks.start(_tick(balancer), name="tick")
+            tasks.start(_prune(balancer, store), name="pruning")
             log.info("started", extra={"address": settings.address})
             await stop.wait()
             await _leave(balancer)
@@ -120,7 +122,7 @@
 
 
 def open_balancer(
-    settings: BalancerSettings, codec: PacketCodec, sockets: ExitStack
+    settings: PassthroughBalancerSettings, codec: PacketCodec, sockets: ExitStack
 ) -> Balancer:
     """Open a balancer's sockets and return its state."""
     now = asyncio.get_running_loop().time
@@ -312,6 +314,7 @@
     """Ask all agents and tell all balancers, spread over the interval."""
     pulse = balancer.settings.pulse
     suspensions = Suspensions()
+    loop_time = asyncio.get_running_loop().time
     while True:
         addresses = _others(balancer)
         least = pulse.interval_milliseconds / 1000
@@ -322,14 +325,14 @@
             balancer.pulses.doubt_nothing()
         for address, is_agent in addresses:
             if is_agent:
-                balancer.ping_agent(address)
+                balancer.ping_agent(address, loop_time())
             else:
                 balancer.ping(address)
         while time.monotonic() - began < interval:
             await asyncio.sleep(NEWCOMER_SECONDS)
             agents = [address for address, is_agent in _others(balancer) if is_agent]
             for address in balancer.pulses.newcomers(agents):
-                balancer.ping_agent(address)
+                balancer.ping_agent(address, loop_time())
 
 
 def _others(balancer: Balancer) -> list[tuple[str, bool]]:
@@ -366,6 +369,18 @@
         balancer.tick(now())
 
 
+async def _prune(balancer: Balancer, store: PlatformStore) -> None:
+    """Take away the entries of members that are gone for good."""
+    now = asyncio.get_running_loop().time
+    while True:
+        await asyncio.sleep(PRUNE_SECONDS)
+        balancer.update_silences(now())
+        for address in balancer.entries_to_remove(now()):
+            removed = await store.remove_member(address)
+            extra = {"address": address, "done": removed.is_ok()}
+            log.info("entry of a silent member removed", extra=extra)
+
+
 async def _leave(balancer: Balancer) -> None:
     """Go on forwarding until routers send nothing more, within the grace."""
     balancer.stopping = True
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/settings.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/settings.py
@@ -39,7 +39,7 @@
     missed_pings: Annotated[int, Meta(ge=1, le=100)] = 3
 
 
-class DaemonSettings(Checked, frozen=True, kw_only=True):
+class PassthroughSettings(Checked, frozen=True, kw_only=True):
     """What both pass-through daemons have in common.
 
     ``packets`` is where a balancer gets clients' packets; its port is also where
@@ -63,13 +63,13 @@
     grace_seconds: Annotated[float, Meta(gt=0, le=600)] = 6.0
 
 
-class BalancerSettings(DaemonSettings, frozen=True, kw_only=True):
+class PassthroughBalancerSettings(PassthroughSettings, frozen=True, kw_only=True):
     """Settings of a pass-through balancer."""
 
     learned_flows: Annotated[int, Meta(ge=0, le=10_000_000)] = 200_000
 
 
-class AgentSettings(DaemonSettings, frozen=True, kw_only=True):
+class PassthroughAgentSettings(PassthroughSettings, frozen=True, kw_only=True):
     """Settings of a pass-through agent, beside the one endpoint that it serves.
 
     The endpoint takes packets at ``endpoint``, sends its own to ``outbound``, and
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
@@ -25,9 +25,9 @@
 from cornelspan_passthrough.members import AGENT, BALANCER, Member
 from cornelspan_passthrough.running_balancer import NEWCOMER_SECONDS
 from cornelspan_passthrough.settings import (
-    AgentSettings,
-    BalancerSettings,
     ObjectStoreSettings,
+    PassthroughAgentSettings,
+    PassthroughBalancerSettings,
 )
 from cornelspan_shirakaba.packets import CODEC
 from cornelspan_standins.packet_ends import (
@@ -118,7 +118,7 @@
 
     def add_balancer(self, address: str) -> Balancer:
         """Start a balancer that knows the configuration and all members."""
-        settings = BalancerSettings(**_daemon_settings(address))
+        settings = PassthroughBalancerSettings(**_daemon_settings(address))
         clients = WorldSocket(self, (address, PACKETS_PORT))
         daemons = WorldSocket(self, (address, INTERNAL_PORT))
         chance = random.Random(self.chance.random())
@@ -153,7 +153,7 @@
         endpoint = self.endpoints[address]
         self.handlers[(address, APP_PORT)] = lambda data, _: endpoint.receive(data)
         service = self.members[address].service
-        settings = AgentSettings(
+        settings = PassthroughAgentSettings(
             **_daemon_settings(address),
             service=service,
             endpoint=f"{address}:{APP_PORT}",
@@ -237,14 +237,14 @@
     def _ping(self) -> None:
         for balancer in self.balancers.values():
             for member in balancer.members.agents():
-                balancer.ping_agent(member.address)
+                balancer.ping_agent(member.address, self.now)
         self.after(PING_SECONDS, self._ping)
 
     def _ping_newcomers(self) -> None:
         for balancer in self.balancers.values():
             agents = [member.address for member in balancer.members.agents()]
             for address in balancer.pulses.newcomers(agents):
-                balancer.ping_agent(address)
+                balancer.ping_agent(address, self.now)
         self.after(NEWCOMER_SECONDS, self._ping_newcomers)
 
     def _report(self) -> None:
--- a/tests/test_passthrough_flows.py
+++ b/tests/test_passthrough_flows.py
@@ -299,3 +299,60 @@
     world.start_agent(late)
     world.run(0.25)
     assert client.events == ["open", "answer", "reset"]
+
+
+def test_a_flow_whose_vm_is_gone_is_reset_once_it_has_been_silent(world):
+    """The caller is told at its first packet, and can try again in time.
+
+    The owner's VM goes without a word and its entry stays. Waiting for its answer, the
+    search for a flow that it had would never end; after two seconds of silence it
+    counts as unable to serve.
+    """
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.2)
+    owner = owner_of(world, client)
+    world.remove(owner)
+    for agent in world.agents.values():
+        agent.directory.by_flow.clear()
+    world.run(3.0)
+    world.move(client, over=BALANCERS[1])
+    client.request()
+    world.run(0.2)
+    assert client.events == ["open", "answer", "reset"]
+
+
+def test_a_balancer_that_hears_nobody_resets_no_flow(world):
+    """The caller's flow lives on when its balancer was cut off from all agents.
+
+    The balancer gets the client's packets and no answers. Taken for the agents' silence
+    its own would end every flow that comes over it.
+    """
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.2)
+    world.lost = lambda source, target, data: target == (BALANCERS[1], INTERNAL_PORT)
+    world.run(4.0)
+    world.move(client, over=BALANCERS[1])
+    client.request()
+    world.run(1.5)
+    assert "reset" not in client.events
+
+
+def test_entries_of_silent_members_are_removed_by_one_balancer(world):
+    """Operators find no entries of VMs that were replaced long ago.
+
+    A VM has gone without a word. After a minute one of the balancers takes its entry
+    away; they agree on which by rank.
+    """
+    world.remove(ORDERS[0])
+    for _ in range(14):
+        world.run(5.0)
+        for balancer in world.balancers.values():
+            for peer in BALANCERS:
+                balancer.ping(peer)
+        world.run(0.1)
+        for balancer in world.balancers.values():
+            balancer.update_silences(world.now)
+    removals = [
+        balancer.entries_to_remove(world.now) for balancer in world.balancers.values()
+    ]
+    assert sorted(removals) == [[], [ORDERS[0]]]
--- /dev/null
+++ b/tests/test_shirakaba_processes.py
@@ -0,0 +1,275 @@
+"""The platform's daemons as processes: settings, packets, store and signals."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+
+import msgspec
+import pytest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from cornelspan_standins.packet_ends import PacketClient, PacketEndpoint
+from cornelspan_standins.platform_store import (
+    PlatformObjects,
+    configuration_spec,
+    platform_store,
+)
+
+SETTLE_SECONDS = 20.0
+CLIENT = "127.0.9.1"
+
+
+class Socket(asyncio.DatagramProtocol):
+    """A UDP socket that hands what it gets to a function."""
+
+    def __init__(self, received):
+        self.received = received
+
+    def datagram_received(self, data, sender):
+        self.received(data)
+
+
+async def udp(address, received):
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        lambda: Socket(received), local_addr=address
+    )
+    return transport
+
+
+def after(seconds, action):
+    asyncio.get_running_loop().call_later(seconds, action)
+
+
+class Deployment:
+    """Processes of the adapter on loopback addresses, one a VM."""
+
+    def __init__(self, folder, base_port):
+        self.folder = folder
+        self.ports = {
+            name: base_port + number
+            for number, name in enumerate(
+                ("store", "packets", "ready", "internal", "app", "outbound", "reports")
+            )
+        }
+        self.processes = {}
+        self.endpoints = []
+        self.flows = {}
+        self.objects = PlatformObjects()
+
+    def address(self, vm, port):
+        return f"{vm}:{self.ports[port]}"
+
+    def settings(self, vm, **more):
+        return {
+            "name": f"vm-{vm}",
+            "datacentre": "chuo-hall",
+            "address": vm,
+            "packets": self.address(vm, "packets"),
+            "ready": self.address(vm, "ready"),
+            "internal_port": self.ports["internal"],
+            "store": {"address": self.address("127.0.0.1", "store")},
+            "grace_seconds": 3.0,
+            **more,
+        }
+
+    async def start(self, role, vm, **more):
+        file = self.folder / f"{vm}.json"
+        file.write_text(json.dumps(self.settings(vm, **more)))
+        self.processes[vm] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cornelspan_shirakaba",
+            role,
+            env={**os.environ, "CORNELSPAN_BOOT": str(file)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    async def start_agent(self, vm, service):
+        """Start an agent, and its endpoint in this process."""
+        await self.start(
+            "agent",
+            vm,
+            service=service,
+            endpoint=self.address(vm, "app"),
+            outbound=self.address(vm, "outbound"),
+            reports=self.address(vm, "reports"),
+            report_milliseconds=500,
+        )
+        outbound = (vm, self.ports["outbound"])
+        endpoint = PacketEndpoint(
+            service, lambda data: transport.sendto(data, outbound), after, random
+        )
+        transport = await udp((vm, self.ports["app"]), endpoint.receive)
+        self.endpoints.append(transport)
+        return endpoint
+
+    async def call(self, method, address, path, body=None):
+        request = HTTPRequest(
+            f"http://{address}{path}", method=method, body=body, request_timeout=2.0
+        )
+        return await AsyncHTTPClient().fetch(request, raise_error=False)
+
+    async def report(self, vm, service, sequence, state="ready"):
+        body = {
+            "service": service,
+            "address": self.address(vm, "app"),
+            "zone": "chuo-hall",
+            "version": "v1",
+            "capacity": 2,
+            "state": state,
+            "warmup-remaining-ms": 0,
+            "sequence": sequence,
+        }
+        path = f"/cornelspan/Instances.Heartbeat/i-{vm}"
+        encoded = msgspec.json.encode(body)
+        address = self.address(vm, "reports")
+        return (await self.call("POST", address, path, encoded)).code
+
+    async def until_ready(self, vm):
+        address = self.address(vm, "ready")
+        async with asyncio.timeout(SETTLE_SECONDS):
+            while await self.readiness(address) != 200:
+                await asyncio.sleep(0.05)
+
+    async def readiness(self, address):
+        try:
+            return (await self.call("GET", address, "/cornelspan/readiness")).code
+        except OSError:
+            return 0
+
+    async def open_flow(self, over, port):
+        """Open a flow over a balancer; returns the client."""
+        target = (over, self.ports["packets"])
+        client = PacketClient(
+            int.from_bytes(bytes(int(part) for part in CLIENT.split(".")), "big"),
+            port,
+            443,
+            lambda data: self.clients.sendto(data, target),
+            after,
+            random,
+        )
+        self.flows[port] = client
+        client.open()
+        return client
+
+    def to_client(self, data):
+        port = int.from_bytes(data[:2], "little")
+        self.flows[port].receive(data)
+
+
+@pytest.fixture
+async def deployment(tmp_path, base_port):
+    here = Deployment(tmp_path, base_port)
+    here.clients = await udp((CLIENT, here.ports["packets"]), here.to_client)
+    with platform_store(("127.0.0.1", here.ports["store"]), here.objects):
+        yield here
+        for process in here.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.communicate()
+    for transport in (here.clients, *here.endpoints):
+        transport.close()
+
+
+async def until(condition):
+    async with asyncio.timeout(SETTLE_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def test_flows_run_through_processes_and_restarts(deployment):
+    """Callers' flows open, go on while daemons are stopped, and nothing is left over.
+
+    An agent is restarted beside its living endpoint, then one balancer stops: it says
+    that it isn't ready, forwards for a while, and ends with 0.
+    """
+    here = deployment
+    here.objects.put("config", "main", configuration_spec(3))
+    agents = {"127.0.1.1": "orders", "127.0.1.2": "receipts"}
+    endpoints = {vm: await here.start_agent(vm, name) for vm, name in agents.items()}
+    for vm in ("127.0.2.1", "127.0.2.2"):
+        await here.start("balancer", vm)
+    for vm in ("127.0.2.1", "127.0.2.2"):
+        await here.until_ready(vm)
+    assert await here.report("127.0.1.1", "orders", 1) == 200
+    client = await here.open_flow("127.0.2.1", 40_001)
+    await until(lambda: client.events == ["open", "answer"])
+    assert endpoints["127.0.1.1"].opened == 1
+    assert endpoints["127.0.1.2"].opened == 0
+
+    agent = here.processes["127.0.1.1"]
+    agent.send_signal(signal.SIGTERM)
+    assert await agent.wait() == 0
+    await here.start(
+        "agent",
+        "127.0.1.1",
+        service="orders",
+        endpoint=here.address("127.0.1.1", "app"),
+        outbound=here.address("127.0.1.1", "outbound"),
+        reports=here.address("127.0.1.1", "reports"),
+        report_milliseconds=500,
+    )
+    client.request()
+    await until(lambda: client.events == ["open", "answer", "answer"])
+
+    balancer = here.processes["127.0.2.1"]
+    balancer.send_signal(signal.SIGHUP)
+    balancer.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.2)
+    address = here.address("127.0.2.1", "ready")
+    assert await here.readiness(address) == 503
+    client.send = lambda data: here.clients.sendto(
+        data, ("127.0.2.2", here.ports["packets"])
+    )
+    client.request()
+    await until(lambda: len(client.events) == 4)
+    assert "reset" not in client.events
+    assert await balancer.wait() == 0
+
+
+async def test_a_bad_report_is_refused_with_its_reason(deployment):
+    here = deployment
+    await here.start_agent("127.0.1.1", "orders")
+    address = here.address("127.0.1.1", "reports")
+    path = "/cornelspan/Instances.Heartbeat/i-1"
+    async with asyncio.timeout(SETTLE_SECONDS):
+        while True:
+            try:
+                answer = await here.call("POST", address, path, b'{"service": 3}')
+                break
+            except OSError:
+                await asyncio.sleep(0.05)
+    assert answer.code == 400
+    assert b"$.service" in answer.body
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"internal_port": 0}, "$.internal_port"),
+        ({"packets": "nowhere"}, "$.packets"),
+        ({"store": {}}, "$.store"),
+        ({"surplus": 1}, "$"),
+    ],
+)
+async def test_bad_settings_end_the_process_with_the_fields_path(
+    deployment, change, path
+):
+    await deployment.start("balancer", "127.0.2.1", **change)
+    process = deployment.processes["127.0.2.1"]
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert f"{path}:" in errors.decode()
+
+
+async def test_an_unknown_role_is_refused(deployment):
+    await deployment.start("juggler", "127.0.2.1")
+    process = deployment.processes["127.0.2.1"]
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert "balancer|agent" in errors.decode()
