Spread the watches of the store over the balancers

Cause: every balancer began a watch of the configuration each two seconds and one of the members at each change; on the grown sites that were most calls to the store.

Change: balancers share the pace of one watch each half second, with jitter, as their pings tell a newer version; after a change of members the next watch waits a second.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -35,10 +35,22 @@
 # How soon an agent that comes up is noticed after a common loss of power; clients'
 # first packets wait for it.
 NEWCOMER_SECONDS = 0.05
-# A watch of the configuration that went silent must be noticed well within the seconds
-# in which a change has to be in force.
-CONFIGURATION_WATCH_SECONDS = 2.0
+# A watch that went silent without a reset must be noticed well within the seconds in
+# which a change has to be in force. It is enough that one balancer notices, as its
+# pings tell the others: so all balancers together begin a watch of the configuration
+# each half second, and a large fleet makes no more calls than a small one. One that is
+# alone, or knows no others, takes two seconds.
+FLEET_WATCH_SECONDS = 0.5
+SHORTEST_WATCH_SECONDS = 2.0
+LONGEST_WATCH_SECONDS = 10.0
+# A change ends all balancers' watches at once. Of equal length, the next ones would all
+# begin, and go silent, in step.
+WATCH_JITTER = 0.5
 MEMBERS_WATCH_SECONDS = 10.0
+# Members come and go in bursts, and each change ends the watches of all balancers. A
+# pause before the next watch takes a burst in by one call; nothing waits for it, as
+# agents that stop say so and new ones speak to the seeds.
+MEMBERS_PAUSE_SECONDS = 1.0
 # A change that a peer has told is on its way here too; the store is asked only if the
 # watch has not brought it by then.
 BEHIND_SECONDS = 0.15
@@ -181,7 +193,7 @@
         return found.map(take)
 
     async def watch(revision: int) -> Result[int, FollowError]:
-        found = await store.watch_configuration(revision, CONFIGURATION_WATCH_SECONDS)
+        found = await store.watch_configuration(revision, _watch_seconds(balancer))
         return found.map(take)
 
     def take(found) -> int:  # noqa: ANN001
@@ -191,6 +203,13 @@
     await follow("configuration", read, watch, backoff)
 
 
+def _watch_seconds(balancer: Balancer) -> float:
+    """Return how long the next watch of the configuration shall wait."""
+    fair = FLEET_WATCH_SECONDS * len(balancer.members.balancers())
+    seconds = min(LONGEST_WATCH_SECONDS, max(SHORTEST_WATCH_SECONDS, fair))
+    return seconds * (1 - WATCH_JITTER * balancer.chance.random())
+
+
 async def _follow_members(
     balancer: Balancer, store: PlatformStore, backoff: Backoff
 ) -> None:
@@ -213,6 +232,7 @@
                     balancer.pulses.forget(address)
                 if found.changed or found.removed:
                     _members_are(balancer)
+                    await asyncio.sleep(MEMBERS_PAUSE_SECONDS)
                 return Ok(found.revision)
             case error:
                 return error
