--- /dev/null
+++ b/packages/cornelspan-common/src/cornelspan_common/bounded_logs.py
@@ -0,0 +1,71 @@
+"""A log handler that neither floods nor waits.
+
+A daemon writes a line for each decision on a flow. In a crowd these would be thousands
+a second, and a reader of its standard output that stands still would stop it: a write
+to a full pipe waits. Both show as packets that are late. So lines beyond a rate, and
+lines that the pipe has no room for, are dropped and counted, and the count is told with
+the next line that gets through.
+"""
+
+import logging
+import os
+import stat
+import time
+from dataclasses import dataclass, field
+
+# Ten flows a second at a daemon make some 30 lines. A crowd of a few hundred flows is
+# kept whole by the burst; at 30 us a line the rate costs under 1 % of a core.
+LINES_PER_SECOND = 200.0
+BURST_LINES = 2000.0
+
+
+@dataclass
+class LineBudget:
+    """A token bucket for lines; warnings and errors pass it always."""
+
+    rate: float = LINES_PER_SECOND
+    burst: float = BURST_LINES
+    tokens: float = BURST_LINES
+    filled_at: float = field(default_factory=time.monotonic)
+
+    def take(self, now: float) -> bool:
+        """Take a line's token; return False if there is none."""
+        grown = self.tokens + (now - self.filled_at) * self.rate
+        self.tokens = min(self.burst, grown)
+        self.filled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a file descriptor without ever waiting.
+
+    ``dropped`` counts lines since the last one that was written.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.budget = LineBudget()
+        self.dropped = 0
+        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+            os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or drop and count it."""
+        is_alarm = record.levelno >= logging.WARNING
+        if not self.budget.take(time.monotonic()) and not is_alarm:
+            self.dropped += 1
+            return
+        if self.dropped:
+            record.dropped_lines = self.dropped
+        line = self.format(record) + "\n"
+        try:
+            os.write(self.descriptor, line.encode())
+        except OSError:
+            # The reader stands still or has gone; there is nowhere to tell it.
+            self.dropped += 1
+            return
+        self.dropped = 0
--- a/packages/cornelspan-common/src/cornelspan_common/logs.py
+++ b/packages/cornelspan-common/src/cornelspan_common/logs.py
@@ -8,7 +8,6 @@
 
 import logging
 import sys
-from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -24,16 +23,16 @@
 
 
 def start_logging(
-    settings: LogSettings, *, process: str, stream: TextIO | None = None
+    settings: LogSettings, *, process: str, handler: logging.Handler | None = None
 ) -> None:
-    """Send all records to a stream as JSON lines.
+    """Send all records to a handler as JSON lines.
 
     Args:
         settings: The level to log from.
         process: Name of the process, a field of each line.
-        stream: Where the lines go; None is standard error.
+        handler: What takes the records; None writes them to standard error.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(FIELDS, rename_fields=RENAMED, static_fields={"process": process})
     )
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -188,6 +188,16 @@
                 held = Held(owned.priority, deadline, now)
                 self.waiting.hold(head.flow, held, packet, head.sequence)
                 self.counts["requests_held"] += 1
+                log.info(
+                    "request held",
+                    extra={
+                        "flow": flow_text(head.flow),
+                        "priority": owned.priority,
+                        "running": self.flows.running,
+                        "room": self._room(),
+                        "waiting": len(self.waiting),
+                    },
+                )
                 return
         elif head.flags & (FIN | RST):
             self.waiting.remove(head.flow)
@@ -201,6 +211,9 @@
     def _release(self, now: float) -> None:
         """Hand over requests that wait, as far as there is room."""
         while self.flows.running < self._room():
+            for expired in self.waiting.forget_expired(now):
+                extra = {"flow": flow_text(expired), "reason": "time budget spent"}
+                log.info("request dropped unrun", extra=extra)
             taken = self.waiting.take(now, self.flows.pace_seconds)
             if taken is None:
                 return
@@ -208,7 +221,10 @@
             owned = self.flows.get(flow)
             if owned is None:
                 continue
-            self.waiting_times.observe(now - held.since)
+            waited = now - held.since
+            self.waiting_times.observe(waited)
+            extra = {"flow": flow_text(flow), "waited_ms": round(waited * 1000)}
+            log.info("request released", extra=extra)
             for packet in held.packets.values():
                 head = self.codec.read_client(packet)
                 if head is not None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
@@ -76,11 +76,9 @@
     def take(self, now: float, pace_seconds: float) -> tuple[int, Held] | None:
         """Take the request that shall run next, None if none waits.
 
-        One whose caller has given up is forgotten: run now, it would take a slot for an
-        answer that nobody reads. One that can't be done in its time comes after all
-        that can, or a crowd's oldest would each run just too late.
+        One that can't be done in its time comes after all that can, or a crowd's oldest
+        would each run just too late.
         """
-        self._forget_expired(now)
         if not self.by_flow:
             return None
         soonest = now + pace_seconds
@@ -92,7 +90,13 @@
         flow = min(self.by_flow, key=order)
         return flow, self.by_flow.pop(flow)
 
-    def _forget_expired(self, now: float) -> None:
-        for flow in [f for f, held in self.by_flow.items() if held.deadline <= now]:
+    def forget_expired(self, now: float) -> list[int]:
+        """Forget requests whose callers have given up, and return their flows.
+
+        Run now, they would take slots for answers that nobody reads.
+        """
+        flows = [flow for flow, held in self.by_flow.items() if held.deadline <= now]
+        for flow in flows:
             del self.by_flow[flow]
-            self.expired += 1
+        self.expired += len(flows)
+        return flows
--- /dev/null
+++ b/tests/test_bounded_logs.py
@@ -0,0 +1,54 @@
+"""A daemon's log neither floods nor blocks."""
+
+import json
+import logging
+import os
+
+from cornelspan_common.bounded_logs import BoundedHandler, LineBudget
+
+
+def record(level=logging.INFO, text="flow placed"):
+    return logging.LogRecord("test", level, "file", 1, text, None, None)
+
+
+def test_lines_beyond_the_rate_are_dropped_and_counted():
+    budget = LineBudget(rate=10.0, burst=2.0, tokens=2.0, filled_at=0.0)
+    assert [budget.take(0.0) for _ in range(3)] == [True, True, False]
+    assert budget.take(0.1)
+    assert not budget.take(0.1)
+
+
+def test_a_reader_that_stands_still_does_not_stop_the_daemon():
+    """Callers notice nothing of a log reader that hangs.
+
+    The pipe fills up; a blocking write would stop the daemon's only thread. Lines are
+    dropped instead, and the first that gets through again tells how many.
+    """
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer)
+    handler.budget = LineBudget(burst=1e6, tokens=1e6)
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    for _ in range(2000):
+        handler.emit(record(text="x" * 100))
+    assert handler.dropped > 0
+    dropped = handler.dropped
+    while len(os.read(reader, 65536)) == 65536:
+        pass
+    late = record()
+    handler.emit(late)
+    assert late.dropped_lines == dropped
+    assert handler.dropped == 0
+    os.close(reader)
+    os.close(writer)
+
+
+def test_alarms_pass_a_spent_budget():
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer)
+    handler.budget = LineBudget(rate=0.0, burst=0.0, tokens=0.0)
+    handler.setFormatter(logging.Formatter(json.dumps({"event": "%(message)s"})))
+    handler.emit(record())
+    handler.emit(record(logging.WARNING, "store lost"))
+    assert os.read(reader, 4096) == b'{"event": "store lost"}\n'
+    os.close(reader)
+    os.close(writer)
--- a/tests/test_passthrough_waiting.py
+++ b/tests/test_passthrough_waiting.py
@@ -30,6 +30,7 @@
 def test_a_request_whose_caller_gave_up_is_never_run():
     line = WaitingLine()
     line.hold(1, held(0, 1.0), b"a", 1)
+    assert line.forget_expired(1.5) == [1]
     assert line.take(1.5, 0.1) is None
     assert line.expired == 1
 
