Pass over an endpoint that has just turned a flow away

Change: for a quarter of a second after a refusal an endpoint comes last. A test counts the detours: 2 or fewer with the change, more without.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -36,7 +36,12 @@
 from cornelspan_passthrough.homes import Homes
 from cornelspan_passthrough.members import AGENT, BALANCER, Member, Members, service_tag
 from cornelspan_passthrough.openings import HELD_SECONDS, Opening, Openings
-from cornelspan_passthrough.placing import Candidate, choose, takes_flows
+from cornelspan_passthrough.placing import (
+    REFUSED_SECONDS,
+    Candidate,
+    choose,
+    takes_flows,
+)
 from cornelspan_passthrough.pruning import Silences, is_pruner
 from cornelspan_passthrough.pulses import Hello, Ping, Pong, Pulses
 from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
@@ -134,9 +139,11 @@
             opening.held = data
             return
         opening.held = b""
-        service, owner = self._choose(route, flow, opening.refused | {opening.owner})
+        service, owner = self._choose(
+            route, flow, opening.refused | {opening.owner}, now
+        )
         if not owner and opening.owner and opening.owner not in opening.refused:
-            service, owner = self._choose(route, flow, opening.refused)
+            service, owner = self._choose(route, flow, opening.refused, now)
         if not owner:
             refusals = len(opening.refused)
             reason = "all endpoints turned it away" if refusals else "no endpoint"
@@ -184,7 +191,9 @@
                 continue
             self._place(opening, route, flow, opening.held, now)
 
-    def _choose(self, route: Route, flow: int, tried: set[str]) -> tuple[str, str]:
+    def _choose(
+        self, route: Route, flow: int, tried: set[str], now: float
+    ) -> tuple[str, str]:
         """Return service and agent for a flow, "" for none.
 
         Agents that don't answer come last, not never: with all of them silent it may be
@@ -198,7 +207,7 @@
                     for address in addresses
                     if address not in tried and is_wanted(address)
                 ]
-                owner = choose(candidates, self.chance)
+                owner = choose(candidates, self.chance, now)
                 if owner:
                     return service, owner
         return "", ""
@@ -390,6 +399,7 @@
         if opening is None or route is None or opening.owner != sender:
             return
         opening.refused.add(sender)
+        self.pulses.of(sender).refused_until = now + REFUSED_SECONDS
         if len(opening.refused) >= OPEN_TRIES:
             self._refuse(note.flow, "turned away", refusals=len(opening.refused))
             return
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/placing.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/placing.py
@@ -19,6 +19,10 @@
 # An endpoint that is still cold takes this much longer for a request.
 COLD_FACTOR = 1.6
 DEFAULT_CAPACITY = 1
+# An endpoint that turned a first packet away is passed over this long, unless no other
+# is left. An empty one that is about to start is the least loaded of all and would be
+# tried for each new flow, a few milliseconds each.
+REFUSED_SECONDS = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,18 +33,19 @@
     pulse: Pulse
 
 
-def choose(candidates: Iterable[Candidate], chance: random.Random) -> str:
+def choose(candidates: Iterable[Candidate], chance: random.Random, now: float) -> str:
     """Return the address of the endpoint to place a flow on, "" if none may take it.
 
     Equals are told apart by chance: by rank, balancers that share a late view would
     send all flows of a moment to the same endpoint.
     """
     best = ""
-    best_cost = (0.0, 0.0)
+    best_cost = (False, 0.0, 0.0)
     for candidate in candidates:
         if not takes_flows(candidate.pulse):
             continue
-        found = (cost(candidate.pulse), chance.random())
+        pulse = candidate.pulse
+        found = (pulse.refused_until > now, cost(pulse), chance.random())
         if not best or found < best_cost:
             best = candidate.address
             best_cost = found
--- /dev/null
+++ b/tests/test_passthrough_placing.py
@@ -0,0 +1,70 @@
+"""Which endpoint takes a new flow."""
+
+import random
+
+from cornelspan_passthrough.placing import Candidate, choose
+from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Pong, Pulse
+from cornelspan_standins.packet_world import PacketWorld
+
+BALANCER = "10.1.0.10"
+
+
+def pulse(state=READY, capacity=2, running=0, flows=0, cold=0, **more):
+    pong = Pong(1, "", "hall", "orders", state, capacity, running, flows, cold, 40)
+    return Pulse(pong=pong, **more)
+
+
+def chosen(**pulses):
+    candidates = [Candidate(name, each) for name, each in pulses.items()]
+    return choose(candidates, random.Random(1), now=10.0)
+
+
+def test_the_least_busy_takes_it():
+    assert chosen(a=pulse(running=2), b=pulse(running=1)) == "b"
+
+
+def test_more_slots_carry_more():
+    assert chosen(a=pulse(running=1, capacity=1), b=pulse(running=2, capacity=4)) == "b"
+
+
+def test_idle_flows_count_for_less_than_running_requests():
+    assert chosen(a=pulse(flows=3), b=pulse(running=1, flows=1)) == "a"
+
+
+def test_flows_on_their_way_count():
+    assert chosen(a=pulse(placed=2), b=pulse(running=1)) == "b"
+
+
+def test_a_cold_endpoint_takes_less():
+    assert chosen(a=pulse(running=1, cold=500), b=pulse(running=1)) == "b"
+
+
+def test_who_leaves_or_is_down_takes_nothing():
+    assert chosen(a=pulse(state=DRAINING), b=pulse(state=DOWN)) == ""
+
+
+def test_who_has_just_refused_comes_last_not_never():
+    refusing = pulse(refused_until=10.2)
+    assert chosen(a=refusing, b=pulse(running=2)) == "b"
+    assert chosen(a=refusing) == "a"
+
+
+def test_an_empty_endpoint_that_takes_nothing_yet_is_not_tried_for_each_flow():
+    """Callers' flows open without a detour while a new endpoint starts.
+
+    The new one has no flow at all, so it seems the least loaded; it sends each first
+    packet back. It is passed over for a while after the first.
+    """
+    world = PacketWorld(seed=1)
+    world.add_agent("10.1.0.11", "orders")
+    starting = world.add_agent("10.1.0.12", "orders")
+    world.endpoints["10.1.0.12"].accepts = False
+    world.add_balancer(BALANCER)
+    world.run(0.5)
+    starting.endpoint.state = READY
+    clients = []
+    for _ in range(12):
+        clients.append(world.open_flow(over=BALANCER))
+        world.run(0.02)
+    assert all(client.events == ["open", "answer"] for client in clients[:10])
+    assert starting.counts["flows_handed_back"] <= 2
