Spread a crowd over endpoints; look for an endpoint that never reports

Changes: (1) right after the first answer a balancer ever gets it waits for the route's other agents, 200 ms at most; (2) an agent whose work exceeds twice its slots hands first packets back, unless it is the last to try; (3) an agent without a first report looks for its endpoint after part of an interval.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -47,6 +47,11 @@
 # Requests at the endpoint beyond those it works on. With one, a slot that becomes free
 # is filled at once; each further one would wait where no priority counts.
 QUEUED_REQUESTS = 1
+# Work for this many times its slots is what an endpoint may have before new flows are
+# sent on: a second round beside the one that runs.
+BUSY_FACTOR = 2
+# A flow's first request follows its first packet after a round trip to the client.
+COMING_SECONDS = 0.02
 
 log = get_log(__name__)
 
@@ -79,7 +84,9 @@
         self.directory = Directory(kept)
         self.waiting = WaitingLine()
         self.waiting_times = Histogram()
-        self.endpoint = Endpoint(settings.service, settings.report_milliseconds / 1000)
+        self.endpoint = Endpoint(
+            settings.service, settings.report_milliseconds / 1000, self.started_at
+        )
         self.tag = service_tag(settings.service)
         self.own_address = int(IPv4Address(settings.address))
         self.endpoint_address = socket_address(settings.endpoint)
@@ -124,7 +131,7 @@
             known.origin = origin
             self._to_endpoint(hop.packet, hops.OPEN)
             return
-        refusal = self._refusal(hop)
+        refusal = self._refusal(hop, now)
         if refusal:
             self._refuse(head.flow, refusal, hop.packet, origin)
             return
@@ -134,7 +141,7 @@
         self.counts["flows_offered"] += 1
         self._to_endpoint(hop.packet, hops.OPEN)
 
-    def _refusal(self, hop: hops.Open) -> int:
+    def _refusal(self, hop: hops.Open, now: float) -> int:
         """Return why the endpoint takes no new flow now; 0 if it does."""
         if hop.service_tag != self.tag:
             return hops.FOREIGN_SERVICE
@@ -142,8 +149,20 @@
             return hops.ENDPOINT_LEAVES
         if self.endpoint.state == DOWN or self.stopping:
             return hops.ENDPOINT_DOWN
+        if not hop.is_final and self._is_busy(now):
+            return hops.ENDPOINT_BUSY
         return 0
 
+    def _is_busy(self, now: float) -> bool:
+        """Whether new flows should rather go elsewhere.
+
+        Balancers know the load of some hundred milliseconds ago. In a crowd each of
+        them sends its share to the same idle endpoint before any hears of the others.
+        """
+        coming = self.flows.opened_since(now - COMING_SECONDS)
+        busy = self.flows.running + len(self.waiting) + coming
+        return busy >= BUSY_FACTOR * self.endpoint.capacity + QUEUED_REQUESTS
+
     def _refuse(self, flow: int, reason: int, packet: bytes, origin: str) -> None:
         log.info(
             "flow handed back",
@@ -237,7 +256,7 @@
         An agent that is restarted beside a living endpoint has forgotten its flows. The
         endpoint itself tells: it sends back what it doesn't hold.
         """
-        if self.endpoint.state == DOWN:
+        if self.endpoint.state == DOWN or self.endpoint.is_silent:
             return False
         return now - self.started_at < self.flows.flow_seconds
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -51,6 +51,9 @@
 # the client's own repeat.
 OPEN_TRIES = 4
 NEVER_OPEN = 0
+# Agents that lost power together come up within some 300 ms; most are there this long
+# after the first.
+GATHER_SECONDS = 0.2
 # Balancers ping each other at the pace of their fleet, some seconds apart at the most.
 BALANCER_SILENT_SECONDS = 10.0
 
@@ -76,6 +79,7 @@
     heard_balancers: dict[str, float] = field(default_factory=dict)
     newest_version: int = 0
     newest_peer: str = ""
+    first_pong_at: float | None = None
     stopping: bool = False
     client_packets: int = 0
     pings: int = 0
@@ -119,7 +123,7 @@
         elif opening.held:
             return
         elif opening.confirmed:
-            self._offer(opening.owner, route, head.flow, data)
+            self._offer(opening, route, head.flow, data)
             return
         # A repeat of a first packet that nobody has answered yet: the endpoint it went
         # to may be gone. At another one it opens at once, and only the endpoint whose
@@ -135,14 +139,14 @@
         VM whose agent is about to come up it would be lost, and the client's repeat
         comes 200 ms later at the earliest.
         """
-        if not self._knows_any_agent(route):
+        if not self._knows_agents(route, now):
             opening.held = data
             return
         opening.held = b""
-        service, owner = self._choose(
-            route, flow, opening.refused | {opening.owner}, now
-        )
-        if not owner and opening.owner and opening.owner not in opening.refused:
+        service, owner = self._choose(route, flow, opening.passed_over, now)
+        opening.is_final = not owner or opening.tries >= OPEN_TRIES - 1
+        if not owner:
+            # Whoever is merely busy, or has not answered, is better than nobody.
             service, owner = self._choose(route, flow, opening.refused, now)
         if not owner:
             refusals = len(opening.refused)
@@ -150,6 +154,7 @@
             self._refuse(flow, reason, route=route.name, refusals=refusals)
             return
         opening.owner = owner
+        opening.service = service
         self.owners.learn(flow, owner)
         pulse = self.pulses.of(owner)
         log.info(
@@ -167,10 +172,14 @@
         )
         pulse.placed += 1
         self.counts["flows_placed"] += 1
-        self._offer(owner, route, flow, data, service=service)
+        self._offer(opening, route, flow, data)
+
+    def _knows_agents(self, route: Route, now: float) -> bool:
+        """Whether enough agents of the route have answered, or there are none.
 
-    def _knows_any_agent(self, route: Route) -> bool:
-        """Whether an agent of the route has answered, or there is none to wait for."""
+        Right after the first answer this balancer ever got, others are about to come
+        up. A crowd's first packets, sent out at once, would all fall on the first.
+        """
         addresses = [
             address
             for share in route.shares
@@ -178,7 +187,10 @@
         ]
         if not addresses:
             return bool(self.members.revision)
-        return any(self.pulses.of(address).pong for address in addresses)
+        answered = [self.pulses.of(address).pong is not None for address in addresses]
+        if self.first_pong_at is None or now - self.first_pong_at > GATHER_SECONDS:
+            return any(answered)
+        return all(answered)
 
     def _place_held(self, now: float) -> None:
         """Place first packets that have waited for an agent, or give them up."""
@@ -212,17 +224,15 @@
                     return service, owner
         return "", ""
 
-    def _offer(
-        self, owner: str, route: Route, flow: int, data: bytes, service: str = ""
-    ) -> None:
-        member = self.members.get(owner)
-        tag = service_tag(service or (member.service if member else ""))
+    def _offer(self, opening: Opening, route: Route, flow: int, data: bytes) -> None:
+        """Send a first packet to the agent that was chosen for it."""
+        tag = service_tag(opening.service)
         homes = [int(IPv4Address(home)) for home in self.homes.of(flow)]
         first, second = (*homes, hops.NOBODY, hops.NOBODY)[:2]
         priority = min(255, route.priority)
         budget = route.timeout_milliseconds
-        hop = hops.Open(priority, budget, tag, (first, second), data)
-        self._send(owner, hops.encode_open(hop))
+        hop = hops.Open(priority, budget, tag, (first, second), opening.is_final, data)
+        self._send(opening.owner, hops.encode_open(hop))
 
     def _refuse(self, flow: int, reason: str, **inputs: str | int) -> None:
         """Reset a flow that surely is not open."""
@@ -398,10 +408,13 @@
         route = self.routes.route(note.flow)
         if opening is None or route is None or opening.owner != sender:
             return
-        opening.refused.add(sender)
+        if note.detail == hops.ENDPOINT_BUSY:
+            opening.busy.add(sender)
+        else:
+            opening.refused.add(sender)
         self.pulses.of(sender).refused_until = now + REFUSED_SECONDS
-        if len(opening.refused) >= OPEN_TRIES:
-            self._refuse(note.flow, "turned away", refusals=len(opening.refused))
+        if opening.tries >= OPEN_TRIES:
+            self._refuse(note.flow, "turned away", refusals=opening.tries)
             return
         self._place(opening, route, note.flow, note.packet, now)
 
@@ -419,6 +432,8 @@
         is_regained = self.pulses.answered(pong, now)
         if is_regained:
             log.info("agent regained", extra={"agent": pong.address})
+        if self.first_pong_at is None:
+            self.first_pong_at = now
         if is_regained or was is None:
             self._place_held(now)
             self._ask_newcomer(pong.address)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
@@ -8,6 +8,12 @@
 MISSING_REPORTS = 1.8
 # An ended life that reports again was not delayed on the way if it goes on reporting.
 RETURNING_REPORTS = 2
+# After this part of an interval without a first report an agent that has just started
+# looks whether there is an endpoint at all. Beside one that is gone it would wait for
+# ever to be told whether a flow lives there.
+FIRST_REPORT = 0.3
+# Two connections that hang, a report's interval apart, and no report meanwhile.
+SILENT_PROBES = 2
 KEPT_LIVES = 64
 
 
@@ -33,11 +39,13 @@
     """The endpoint's state; times are of the loop's clock, in seconds.
 
     Until its first report the endpoint is taken for ready: it may have lived on while
-    its agent was restarted.
+    its agent was restarted. ``watched_since`` is when that agent started.
     """
 
     service: str
     report_seconds: float
+    watched_since: float = 0.0
+    unanswered_probes: int = 0
     life: str = ""
     sequence: int = -1
     state: int = READY
@@ -69,6 +77,7 @@
         self.capacity = report.capacity
         self.cold_until = now + report.cold_milliseconds / 1000
         self.reported_at = now
+        self.unanswered_probes = 0
         self._become(report)
         return begins and known
 
@@ -87,9 +96,15 @@
     def is_overdue(self, now: float) -> bool:
         """Whether a report is missing."""
         if self.reported_at is None:
-            return False
+            first = FIRST_REPORT * self.report_seconds
+            return now - self.watched_since > first
         return now - self.reported_at > MISSING_REPORTS * self.report_seconds
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it neither reports nor takes connections."""
+        return self.unanswered_probes >= SILENT_PROBES
+
     def cold_milliseconds(self, now: float) -> int:
         """How much longer the endpoint is slow after its start."""
         return max(0, int((self.cold_until - now) * 1000))
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -1,5 +1,6 @@
 """The flows that an agent's endpoint holds, as the agent sees them go by."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from cornelspan_passthrough.histograms import Histogram
@@ -17,6 +18,8 @@
 # Late packets of a flow that has ended still go to the endpoint, which answers them.
 ENDED_SECONDS = 10.0
 LIMIT = 200_000
+# Starts of flows that are kept to tell how many began of late.
+KEPT_STARTS = 32
 
 
 @dataclass(slots=True)
@@ -52,6 +55,7 @@
     by_flow: dict[int, OwnedFlow] = field(default_factory=dict)
     running: int = 0
     pace_seconds: float = 0.0
+    starts: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_STARTS))
     answer_times: Histogram = field(default_factory=Histogram)
 
     def __len__(self) -> int:
@@ -70,8 +74,13 @@
             self.remove(next(iter(self.by_flow)))
         owned = OwnedFlow(origin, homes, now, now)
         self.by_flow[flow] = owned
+        self.starts.append(now)
         return owned
 
+    def opened_since(self, then: float) -> int:
+        """Return how many flows began after a time, as far as kept."""
+        return sum(1 for at in self.starts if at > then)
+
     def sent(
         self, owned: OwnedFlow, acknowledged: int, length: int, now: float
     ) -> None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
@@ -35,7 +35,7 @@
 PASSED = 14
 
 FLOW_BYTES = 12
-OPEN_HEAD = struct.Struct("<BBHIII")
+OPEN_HEAD = struct.Struct("<BBHIII?")
 LONGEST_BUDGET = 65_535
 FLOW_HEAD = struct.Struct("<BB12sI")
 NOBODY = 0
@@ -47,14 +47,16 @@
 
     ``service_tag`` stands for the service that the balancer chose, ``priority`` is the
     route's, 0 the highest, and ``budget_milliseconds`` how long a request on the flow
-    may take. ``homes`` are the addresses of the agents that shall record
-    the owner, ``NOBODY`` for none.
+    may take. ``homes`` are the addresses of the agents that shall record the owner,
+    ``NOBODY`` for none. ``is_final`` says that no other endpoint is left to try, so
+    that one that is merely busy takes it.
     """
 
     priority: int
     budget_milliseconds: int
     service_tag: int
     homes: tuple[int, int]
+    is_final: bool
     packet: bytes
 
 
@@ -72,16 +74,25 @@
     """Return the datagram of a first packet."""
     first, second = hop.homes
     budget = min(LONGEST_BUDGET, hop.budget_milliseconds)
-    tag = hop.service_tag
-    return OPEN_HEAD.pack(OPEN, hop.priority, budget, tag, first, second) + hop.packet
+    head = OPEN_HEAD.pack(
+        OPEN,
+        hop.priority,
+        budget,
+        hop.service_tag,
+        first,
+        second,
+        hop.is_final,
+    )
+    return head + hop.packet
 
 
 def decode_open(data: bytes) -> Open | None:
     """Return the first packet that a datagram carries; None for a broken one."""
     if len(data) < OPEN_HEAD.size:
         return None
-    _, priority, budget, tag, first, second = OPEN_HEAD.unpack_from(data)
-    return Open(priority, budget, tag, (first, second), data[OPEN_HEAD.size :])
+    _, priority, budget, tag, first, second, final = OPEN_HEAD.unpack_from(data)
+    packet = data[OPEN_HEAD.size :]
+    return Open(priority, budget, tag, (first, second), final, packet)
 
 
 def encode_packet(kind: int, packet: bytes) -> bytes:
@@ -120,9 +131,11 @@
 ENDPOINT_LEAVES = 2
 ENDPOINT_DOWN = 3
 ENDPOINT_FULL = 4
+ENDPOINT_BUSY = 5
 REASONS = {
     FOREIGN_SERVICE: "foreign service",
     ENDPOINT_LEAVES: "endpoint leaves",
     ENDPOINT_DOWN: "endpoint down",
     ENDPOINT_FULL: "endpoint full",
+    ENDPOINT_BUSY: "endpoint busy",
 }
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
@@ -16,8 +16,10 @@
 class Opening:
     """A flow on its way to an endpoint; ``confirmed`` once the endpoint took it.
 
-    ``owner`` is the agent it was sent to last, ``refused`` those that turned it away.
-    ``held`` is its first packet while no agent is known to be there.
+    ``owner`` is the agent it was sent to last, ``refused`` those whose endpoint takes
+    no flow, ``busy`` those that only had too much to do; at the ``is_final`` try that
+    doesn't count. ``held`` is its first packet while no agent is known to be there,
+    ``service`` what the configuration chose for it.
     """
 
     sequence: int
@@ -26,6 +28,19 @@
     refused: set[str] = field(default_factory=set)
     confirmed: bool = False
     held: bytes = b""
+    service: str = ""
+    busy: set[str] = field(default_factory=set)
+    is_final: bool = False
+
+    @property
+    def tries(self) -> int:
+        """How many agents have handed it back."""
+        return len(self.refused) + len(self.busy)
+
+    @property
+    def passed_over(self) -> set[str]:
+        """Agents that are not tried while another is left."""
+        return self.refused | self.busy | {self.owner}
 
 
 @dataclass
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
+from enum import Enum, auto
 
 import msgspec
 
@@ -40,6 +41,14 @@
 log = get_log(__name__)
 
 
+class Probe(Enum):
+    """What a connection to the endpoint's address has shown."""
+
+    TAKEN = auto()
+    REFUSED = auto()
+    UNANSWERED = auto()
+
+
 @dataclass(frozen=True, slots=True)
 class Left:
     """An endpoint's word that a life of it is over."""
@@ -195,24 +204,29 @@
         if endpoint.state == DOWN or not endpoint.is_overdue(now()):
             continue
         log.info("report missing", extra={"life": endpoint.life})
-        if await _refuses(agent.endpoint_address):
-            agent.endpoint_refuses()
-        else:
-            await asyncio.sleep(endpoint.report_seconds)
-
-
-async def _refuses(address: tuple[str, int]) -> bool:
-    """Whether a connection to an address is refused."""
+        match await _probe(agent.endpoint_address):
+            case Probe.REFUSED:
+                agent.endpoint_refuses()
+            case Probe.TAKEN:
+                endpoint.unanswered_probes = 0
+                await asyncio.sleep(endpoint.report_seconds)
+            case Probe.UNANSWERED:
+                endpoint.unanswered_probes += 1
+                await asyncio.sleep(endpoint.report_seconds)
+
+
+async def _probe(address: tuple[str, int]) -> Probe:
+    """Open a connection to the endpoint's address and close it again."""
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
             _, writer = await asyncio.open_connection(*address)
     except ConnectionRefusedError:
-        return True
+        return Probe.REFUSED
     except (OSError, TimeoutError) as error:
         log.info("endpoint not reached", extra={"reason": repr(error)})
-        return False
+        return Probe.UNANSWERED
     writer.close()
-    return False
+    return Probe.TAKEN
 
 
 async def _sweep(agent: Agent) -> None:
--- a/tests/test_passthrough_placing.py
+++ b/tests/test_passthrough_placing.py
@@ -68,3 +68,55 @@
         world.run(0.02)
     assert all(client.events == ["open", "answer"] for client in clients[:10])
     assert starting.counts["flows_handed_back"] <= 2
+
+
+ORDERS = tuple(f"10.{zone}.0.11" for zone in range(1, 7))
+
+
+def opened_at(world):
+    return [world.endpoints[address].opened for address in ORDERS]
+
+
+def test_a_crowd_after_a_loss_of_power_is_spread_over_all_that_come_up():
+    """Callers of a crowd wait for a fair share of all endpoints, not for one of them.
+
+    All VMs have lost power; the balancer is up first and holds first packets. Agents
+    come up 30 ms apart. Sent out at the first answer, all would fall on one endpoint.
+    """
+    world = PacketWorld(seed=1)
+    for address in ORDERS:
+        world.add_agent(address, "orders")
+        world.remove(address)
+    world.add_balancer(BALANCER)
+    clients = [world.open_flow(over=BALANCER) for _ in range(30)]
+    for address in ORDERS:
+        world.start_agent(address)
+        world.run(0.03)
+    world.run(1.0)
+    assert all(client.events[:1] == ["open"] for client in clients)
+    assert max(opened_at(world)) <= 8
+
+
+def test_an_agent_with_a_long_line_sends_new_flows_on():
+    """Callers' new flows open where there is room, though the balancer's view is old.
+
+    Another balancer has just filled one endpoint. This one believes it to be idle; the
+    agent hands first packets back, and says how busy it is.
+    """
+    world = PacketWorld(seed=1)
+    for address in ORDERS[:2]:
+        world.add_agent(address, "orders")
+        world.endpoints[address].work_seconds = 0.5
+    world.add_balancer(BALANCER)
+    world.add_balancer("10.2.0.10")
+    world.run(1.0)
+    first, second = ORDERS[:2]
+    world.balancers[BALANCER].by_service["orders"] = [first]
+    for _ in range(12):
+        world.open_flow(over=BALANCER)
+    world.run(0.02)
+    world.balancers["10.2.0.10"].pulses.of(second).placed = 50
+    clients = [world.open_flow(over="10.2.0.10") for _ in range(4)]
+    world.run(0.05)
+    assert all(client.events == ["open"] for client in clients)
+    assert world.agents[second].counts["flows_taken"] == 4
--- a/tests/test_shirakaba_processes.py
+++ b/tests/test_shirakaba_processes.py
@@ -106,6 +106,10 @@
         )
         transport = await udp((vm, self.ports["app"]), endpoint.receive)
         self.endpoints.append(transport)
+        server = await asyncio.start_server(
+            lambda reader, writer: writer.close(), vm, self.ports["app"]
+        )
+        self.endpoints.append(server)
         return endpoint
 
     async def call(self, method, address, path, body=None):
