Split the pass-through daemons into modules with one job; count open flows only

An agent whose endpoint had gone before it fell silent isn't waited for. The load that balancers are told counts flows that are open, not those that ended or never opened. Tests for both.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -13,9 +13,16 @@
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.datagrams import DatagramSocket
+from cornelspan_passthrough.delivering import (
+    QUEUED_REQUESTS,
+    answer_ask,
+    deliver,
+    find,
+    release,
+    say_not_here,
+)
 from cornelspan_passthrough.endpoint import Endpoint, Report
 from cornelspan_passthrough.flows import (
-    NO_REQUEST,
     Directory,
     FlowTable,
     OwnedFlow,
@@ -35,20 +42,16 @@
 from cornelspan_passthrough.members import service_tag
 from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Ping, Pong
 from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
-from cornelspan_passthrough.waiting import Held, WaitingLine
+from cornelspan_passthrough.waiting import WaitingLine
 
 NO_HOMES = (hops.NOBODY, hops.NOBODY)
-# Questions that wait for the endpoint's word; it answers within its own round trip.
-ASKED_LIMIT = 4096
+# A question waits this long for the endpoint's word, which comes within a round trip.
 ASKED_SECONDS = 2.0
 # Flows are recorded a quarter longer than they may be open, so that no record ends
 # before its flow does.
 RECORD_MARGIN = 1.25
 # Number of a pong that answers no ping.
 UNASKED = 0
-# Requests at the endpoint beyond those it works on. With one, a slot that becomes free
-# is filled at once; each further one would wait where no priority counts.
-QUEUED_REQUESTS = 1
 # Work for this many times its slots is what an endpoint may have before new flows are
 # sent on: a second round beside the one that runs.
 BUSY_FACTOR = 2
@@ -100,7 +103,7 @@
         """Take a datagram of another daemon."""
         kind = data[0] if data else 0
         if kind in (hops.DELIVER, hops.TRY):
-            self._deliver(data[1:], kind, sender, now)
+            deliver(self, data[1:], kind, sender, now)
         elif kind == hops.OPEN:
             hop = hops.decode_open(data)
             if hop is None:
@@ -110,12 +113,12 @@
         elif kind == hops.ASK:
             note = hops.decode_note(data)
             if note is not None:
-                self._send(sender, self._answer_ask(note.flow, now))
+                self.send(sender, answer_ask(self, note.flow, now))
         elif kind == hops.FIND:
-            self._find(data[1:], sender, now)
+            find(self, data[1:], sender, now)
         elif kind == hops.PASSED and len(data) > hops.PASSED_HEAD:
             origin, packet = hops.decode_passed(data)
-            self._deliver(packet, hops.DELIVER, origin, now)
+            deliver(self, packet, hops.DELIVER, origin, now)
         elif kind == hops.RECORD:
             note = hops.decode_note(data)
             if note is not None:
@@ -135,7 +138,7 @@
         if known is not None and not known.ended:
             # A repeat: the endpoint has the flow and answers as it did before.
             known.origin = origin
-            self._to_endpoint(hop.packet, hops.OPEN)
+            self.to_endpoint(hop.packet, hops.OPEN)
             return
         refusal = self._refusal(hop, now)
         if refusal:
@@ -145,7 +148,7 @@
         owned.priority = hop.priority
         owned.budget_seconds = hop.budget_milliseconds / 1000
         self.counts["flows_offered"] += 1
-        self._to_endpoint(hop.packet, hops.OPEN)
+        self.to_endpoint(hop.packet, hops.OPEN)
 
     def _refusal(self, hop: hops.Open, now: float) -> int:
         """Return why the endpoint takes no new flow now; 0 if it does."""
@@ -181,134 +184,12 @@
         )
         self.counts["flows_handed_back"] += 1
         note = hops.encode_note(hops.REFUSED, flow, detail=reason, packet=packet)
-        self._send(origin, note)
-
-    def _deliver(self, packet: bytes, kind: int, origin: str, now: float) -> None:
-        """Hand a packet to the endpoint if it holds the flow, or may do so."""
-        head = self.codec.read_client(packet)
-        if head is None:
-            self.counts["broken_packets"] += 1
-            return
-        owned = self.flows.get(head.flow)
-        if owned is not None:
-            owned.origin = origin
-            self._forward(head, owned, packet, now)
-            return
-        if not self._may_hold_unknown(now):
-            self._say_not_here(head.flow, origin, packet)
-            return
-        self._note_question(head.flow, origin, now)
-        self._to_endpoint(packet, kind)
-
-    def _forward(self, head: Head, owned: OwnedFlow, packet: bytes, now: float) -> None:
-        """Hand a packet of a flow to the endpoint, or hold its request for room."""
-        if head.length and owned.request_at == NO_REQUEST:
-            if self.waiting.holds(head.flow):
-                self.waiting.add(head.flow, packet, head.sequence)
-                return
-            if self.flows.running >= self._room():
-                deadline = now + owned.budget_seconds
-                held = Held(owned.priority, deadline, now)
-                self.waiting.hold(head.flow, held, packet, head.sequence)
-                self.counts["requests_held"] += 1
-                log.info(
-                    "request held",
-                    extra={
-                        "flow": flow_text(head.flow),
-                        "priority": owned.priority,
-                        "running": self.flows.running,
-                        "room": self._room(),
-                        "waiting": len(self.waiting),
-                    },
-                )
-                return
-        elif head.flags & (FIN | RST):
-            self.waiting.remove(head.flow)
-        self.flows.sent(owned, head.acknowledged, head.length, now)
-        self._to_endpoint(packet, hops.DELIVER)
-
-    def _room(self) -> int:
-        """How many requests may be at the endpoint at once."""
-        return self.endpoint.capacity + QUEUED_REQUESTS
-
-    def _release(self, now: float) -> None:
-        """Hand over requests that wait, as far as there is room."""
-        while self.flows.running < self._room():
-            for expired in self.waiting.forget_expired(now):
-                extra = {"flow": flow_text(expired), "reason": "time budget spent"}
-                log.info("request dropped unrun", extra=extra)
-            taken = self.waiting.take(now, self.flows.pace_seconds)
-            if taken is None:
-                return
-            flow, held = taken
-            owned = self.flows.get(flow)
-            if owned is None:
-                continue
-            waited = now - held.since
-            self.waiting_times.observe(waited)
-            extra = {"flow": flow_text(flow), "waited_ms": round(waited * 1000)}
-            log.info("request released", extra=extra)
-            for packet in held.packets.values():
-                head = self.codec.read_client(packet)
-                if head is not None:
-                    self.flows.sent(owned, head.acknowledged, head.length, now)
-                    self._to_endpoint(packet, hops.DELIVER)
-
-    def _answer_ask(self, flow: int, now: float) -> bytes:
-        """Return the answer to a balancer that seeks the owner of a flow."""
-        if self.flows.get(flow) is not None:
-            return hops.encode_note(hops.OWNED, flow, agent=self.own_address)
-        if self._may_hold_unknown(now):
-            return hops.encode_note(hops.MAYBE, flow)
-        return hops.encode_note(hops.NOT_HERE, flow)
-
-    def _may_hold_unknown(self, now: float) -> bool:
-        """Whether the endpoint may hold a flow that opened before this process did.
-
-        An agent that is restarted beside a living endpoint has forgotten its flows. The
-        endpoint itself tells: it sends back what it doesn't hold. One that was still
-        cold at its first report began about when this process did, after a common loss
-        of power; it has no flows of an earlier time, and saying so at once saves a
-        packet to each endpoint for each dead flow.
-        """
-        if self.endpoint.has_started_fresh:
-            return False
-        if self.endpoint.state == DOWN or self.endpoint.is_silent:
-            return False
-        return now - self.started_at < self.flows.flow_seconds
-
-    def _note_question(self, flow: int, origin: str, now: float) -> None:
-        self.asked.pop(flow, None)
-        self.asked[flow] = (origin, now)
-        if len(self.asked) > ASKED_LIMIT:
-            del self.asked[next(iter(self.asked))]
-
-    def _say_not_here(self, flow: int, origin: str, packet: bytes) -> None:
-        self.counts["flows_not_here"] += 1
-        self._send(origin, hops.encode_note(hops.NOT_HERE, flow, packet=packet))
-
-    def _find(self, packet: bytes, origin: str, now: float) -> None:
-        """Pass a packet on to the owner that is recorded here, and name it."""
-        head = self.codec.read_client(packet)
-        if head is None:
-            self.counts["broken_packets"] += 1
-            return
-        if self.flows.get(head.flow) is not None:
-            self._tell_owner(head.flow, origin)
-            self._deliver(packet, hops.DELIVER, origin, now)
-            return
-        owner = self.directory.owner(head.flow)
-        if owner is None or owner == self.own_address:
-            self._send(origin, hops.encode_note(hops.UNKNOWN, head.flow))
-            return
-        self._send(origin, hops.encode_note(hops.OWNED, head.flow, agent=owner))
-        # The balancer sends what follows to the owner; this packet goes with the name,
-        # as coming from it, so that the owner's word goes to the balancer too.
-        self._send(address_text(owner), hops.encode_passed(packet, origin))
+        self.send(origin, note)
 
-    def _tell_owner(self, flow: int, origin: str) -> None:
+    def tell_owner(self, flow: int, origin: str) -> None:
+        """Tell a balancer that this agent owns a flow."""
         note = hops.encode_note(hops.OWNED, flow, agent=self.own_address)
-        self._send(origin, note)
+        self.send(origin, note)
 
     def _ping(self, data: bytes, sender: str, now: float) -> None:
         try:
@@ -322,7 +203,7 @@
             self.unlisted_at = None
         elif self.unlisted_at is None:
             self.unlisted_at = now
-        self._send(sender, self._pong(ping.number, now))
+        self.send(sender, self._pong(ping.number, now))
 
     def _pong(self, number: int, now: float) -> bytes:
         endpoint = self.endpoint
@@ -334,7 +215,7 @@
             DOWN if self.stopping else endpoint.state,
             endpoint.capacity,
             self.flows.running + len(self.waiting),
-            len(self.flows),
+            self.flows.open_flows,
             endpoint.cold_milliseconds(now),
             round(self.flows.pace_seconds * 1000),
         )
@@ -360,10 +241,9 @@
             return
         self.flows.answered(owned, head.length, now)
         if head.flags & (FIN | RST):
-            owned.ended = True
-            self.flows.end_request(owned)
+            self.flows.end(owned)
             self.waiting.remove(head.flow)
-        self._release(now)
+        release(self, now)
 
     def _learn(self, head: Head, now: float) -> OwnedFlow:
         """Take in a flow that opened before this process started."""
@@ -371,7 +251,7 @@
         owned = self.flows.start(head.flow, origin, NO_HOMES, now)
         owned.answered = True
         if origin:
-            self._tell_owner(head.flow, origin)
+            self.tell_owner(head.flow, origin)
         return owned
 
     def _taken(self, flow: int, owned: OwnedFlow) -> None:
@@ -381,11 +261,11 @@
         owned.answered = True
         self.counts["flows_taken"] += 1
         if owned.origin:
-            self._tell_owner(flow, owned.origin)
+            self.tell_owner(flow, owned.origin)
         for home in owned.homes:
             if home not in (hops.NOBODY, self.own_address):
                 note = hops.encode_note(hops.RECORD, flow, agent=self.own_address)
-                self._send(address_text(home), note)
+                self.send(address_text(home), note)
 
     def _bounced(self, head: Head, data: bytes, now: float) -> None:
         """Take back a packet that the endpoint can't take."""
@@ -407,7 +287,7 @@
             origin = owned.origin
             self.flows.remove(head.flow)
         if origin:
-            self._say_not_here(head.flow, origin, packet)
+            say_not_here(self, head.flow, origin, packet)
 
     def _end_dead_flow(self, flow: int, owned: OwnedFlow, reason: str) -> None:
         """Reset a flow that its endpoint no longer holds.
@@ -441,7 +321,7 @@
         endpoint get no flow, and one that leaves get some that it hands back.
         """
         for balancer in self.balancers:
-            self._send(balancer, self._pong(UNASKED, now))
+            self.send(balancer, self._pong(UNASKED, now))
 
     def leave(self, life: str) -> None:
         """Take in that the endpoint has gone."""
@@ -476,15 +356,17 @@
     def sweep(self, now: float) -> None:
         """Forget what is too old."""
         self.flows.sweep(now)
-        self._release(now)
+        release(self, now)
         self.directory.sweep(now)
         for flow in list(self.asked):
             if now - self.asked[flow][1] <= ASKED_SECONDS:
                 return
             del self.asked[flow]
 
-    def _to_endpoint(self, packet: bytes, mark: int) -> None:
+    def to_endpoint(self, packet: bytes, mark: int) -> None:
+        """Hand a packet to the endpoint, under a mark."""
         self.local.send(self.codec.marked(packet, mark), self.endpoint_address)
 
-    def _send(self, address: str, data: bytes) -> None:
+    def send(self, address: str, data: bytes) -> None:
+        """Send a datagram to another daemon."""
         self.daemons.send(data, (address, self.settings.internal_port))
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -49,11 +49,16 @@
 
 @dataclass
 class FlowTable:
-    """Flows by number. ``running`` counts those with a request at the endpoint."""
+    """Flows by number.
+
+    ``running`` counts those with a request at the endpoint, ``open_flows`` those that
+    are open and have not ended: what will send again.
+    """
 
     flow_seconds: float
     by_flow: dict[int, OwnedFlow] = field(default_factory=dict)
     running: int = 0
+    open_flows: int = 0
     pace_seconds: float = 0.0
     starts: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_STARTS))
     answer_times: Histogram = field(default_factory=Histogram)
@@ -94,13 +99,22 @@
     def answered(self, owned: OwnedFlow, length: int, now: float) -> None:
         """Note a packet of the endpoint after its first; data answers the request."""
         owned.used_at = now
-        owned.opened = True
+        if not owned.opened:
+            owned.opened = True
+            self.open_flows += 1
         if length and owned.request_at != NO_REQUEST:
             took = now - owned.request_at
             self.end_request(owned)
             self.answer_times.observe(took)
             self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
 
+    def end(self, owned: OwnedFlow) -> None:
+        """Note that one of its ends has closed a flow."""
+        self.end_request(owned)
+        if owned.opened and not owned.ended:
+            self.open_flows -= 1
+        owned.ended = True
+
     def end_request(self, owned: OwnedFlow) -> None:
         """Note that a flow's request no longer runs."""
         if owned.request_at != NO_REQUEST:
@@ -111,7 +125,9 @@
         """Forget a flow and return it."""
         owned = self.by_flow.pop(flow, None)
         if owned is not None:
-            self.end_request(owned)
+            was_ended = owned.ended
+            self.end(owned)
+            owned.ended = was_ended
         return owned
 
     def clear(self) -> list[tuple[int, OwnedFlow]]:
@@ -119,6 +135,7 @@
         flows = list(self.by_flow.items())
         self.by_flow = {}
         self.running = 0
+        self.open_flows = 0
         return flows
 
     def sweep(self, now: float) -> None:
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
@@ -0,0 +1,217 @@
+"""What a balancer follows: the store, and peers that are ahead of it."""
+
+import asyncio
+
+import msgspec
+from result import Err, Ok, Result
+
+from cornelspan_common.calls import CallBudget, HttpCaller
+from cornelspan_common.logs import get_log
+from cornelspan_passthrough.balancer import Balancer
+from cornelspan_passthrough.configuration import Configuration
+from cornelspan_passthrough.listing import list_member
+from cornelspan_passthrough.members import BALANCER, Member
+from cornelspan_passthrough.store import (
+    Backoff,
+    ConfigurationAt,
+    FollowError,
+    PlatformStore,
+    follow,
+)
+
+# A watch that went silent without a reset must be noticed well within the seconds in
+# which a change has to be in force. It is enough that one balancer notices, as its
+# pings tell the others: so all balancers together begin a watch of the configuration
+# each half second, and a large fleet makes no more calls than a small one. One that is
+# alone, or knows no others, takes two seconds.
+FLEET_WATCH_SECONDS = 0.5
+SHORTEST_WATCH_SECONDS = 2.0
+LONGEST_WATCH_SECONDS = 10.0
+# A change ends all balancers' watches at once. Of equal length, the next ones would all
+# begin, and go silent, in step.
+WATCH_JITTER = 0.5
+MEMBERS_WATCH_SECONDS = 10.0
+# Members come and go in bursts, and each change ends the watches of all balancers. A
+# pause before the next watch takes a burst in by one call; nothing waits for it, as
+# agents that stop say so and new ones speak to the seeds.
+MEMBERS_PAUSE_SECONDS = 1.0
+# A change that a peer has told is on its way here too; the store is asked only if the
+# watch has not brought it by then.
+BEHIND_SECONDS = 0.15
+SNAPSHOT_PATH = "/snapshot"
+PEER_CALLS_PER_SECOND = 10.0
+PEER_CALL_SECONDS = 1.0
+PRUNE_SECONDS = 5.0
+
+log = get_log(__name__)
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """What a balancer tells a peer that can't reach the store."""
+
+    configuration: Configuration | None
+    members: tuple[Member, ...]
+
+
+def take_configuration(
+    balancer: Balancer, configuration: Configuration | None, source: str
+) -> None:
+    """Take in a configuration if it is newer than the one in force."""
+    if configuration is None or not balancer.routes.replace(configuration):
+        return
+    balancer.newest_version = max(balancer.newest_version, configuration.version)
+    extra = {
+        "version": configuration.version,
+        "routes": len(configuration.routes),
+        "source": source,
+    }
+    log.info("configuration in force", extra=extra)
+
+
+async def follow_configuration(
+    balancer: Balancer, store: PlatformStore, backoff: Backoff
+) -> None:
+    """Follow the configuration in the store for ever."""
+
+    async def read() -> Result[int, FollowError]:
+        found = await store.read_configuration()
+        return found.map(take)
+
+    async def watch(revision: int) -> Result[int, FollowError]:
+        found = await store.watch_configuration(revision, _watch_seconds(balancer))
+        return found.map(take)
+
+    def take(found: ConfigurationAt) -> int:
+        take_configuration(balancer, found.configuration, "store")
+        return found.revision
+
+    await follow("configuration", read, watch, backoff)
+
+
+def _watch_seconds(balancer: Balancer) -> float:
+    """Return how long the next watch of the configuration shall wait."""
+    fair = FLEET_WATCH_SECONDS * len(balancer.members.balancers())
+    seconds = min(LONGEST_WATCH_SECONDS, max(SHORTEST_WATCH_SECONDS, fair))
+    return seconds * (1 - WATCH_JITTER * balancer.chance.random())
+
+
+async def follow_members(
+    balancer: Balancer, store: PlatformStore, backoff: Backoff
+) -> None:
+    """Follow the listed members for ever."""
+
+    async def read() -> Result[int, FollowError]:
+        match await store.list_members():
+            case Ok(found):
+                balancer.members.replace(found.members, found.revision)
+                _members_are(balancer)
+                return Ok(found.revision)
+            case error:
+                return error
+
+    async def watch(revision: int) -> Result[int, FollowError]:
+        match await store.watch_members(revision, MEMBERS_WATCH_SECONDS):
+            case Ok(found):
+                for member in found.changed:
+                    balancer.members.put(member, found.revision)
+                for address in found.removed:
+                    balancer.members.remove(address, found.revision)
+                    balancer.pulses.forget(address)
+                if found.changed or found.removed:
+                    _members_are(balancer)
+                    await asyncio.sleep(MEMBERS_PAUSE_SECONDS)
+                return Ok(found.revision)
+            case error:
+                return error
+
+    await follow("members", read, watch, backoff)
+
+
+def _members_are(balancer: Balancer) -> None:
+    balancer.members_changed()
+    members = balancer.members
+    extra = {
+        "agents": len(members.agents()),
+        "balancers": len(members.balancers()),
+        "revision": members.revision,
+    }
+    log.info("members known", extra=extra)
+
+
+async def list_itself(
+    balancer: Balancer, store: PlatformStore, backoff: Backoff
+) -> None:
+    """List this balancer, so that agents' news and peers reach it."""
+    settings = balancer.settings
+    member = Member(settings.address, BALANCER, settings.datacentre)
+    await list_member(store, member, backoff)
+
+
+async def catch_up(balancer: Balancer, store: PlatformStore) -> None:
+    """Fetch a configuration that a peer has and this balancer has not.
+
+    Its own watch may hang on a connection that went silent, or the store may turn just
+    this VM away: it would send flows by an old configuration while its peers use the
+    new one.
+    """
+    while True:
+        await asyncio.sleep(BEHIND_SECONDS)
+        if not _is_behind(balancer):
+            continue
+        await asyncio.sleep(BEHIND_SECONDS)
+        if not _is_behind(balancer):
+            continue
+        match await store.read_configuration():
+            case Ok(found):
+                take_configuration(balancer, found.configuration, "store")
+            case Err(error):
+                log.info("store can't help", extra={"reason": str(error)})
+        if _is_behind(balancer):
+            await _fetch_from_peer(balancer, balancer.newest_peer)
+
+
+def _is_behind(balancer: Balancer) -> bool:
+    return balancer.newest_version > balancer.routes.version
+
+
+async def _fetch_from_peer(balancer: Balancer, peer: str) -> None:
+    """Take configuration and members from a peer."""
+    port = balancer.settings.internal_port
+    budget = CallBudget(PEER_CALLS_PER_SECOND)
+    caller = HttpCaller(f"http://{peer}:{port}", budget, call_seconds=PEER_CALL_SECONDS)
+    try:
+        match await caller.send("GET", SNAPSHOT_PATH):
+            case Ok(response) if response.code == 200:
+                _take_snapshot(balancer, response.body, peer)
+            case Ok(response):
+                log.info("peer can't help", extra={"peer": peer, "code": response.code})
+            case Err(error):
+                log.info("peer can't help", extra={"peer": peer, "reason": str(error)})
+    finally:
+        caller.close()
+
+
+def _take_snapshot(balancer: Balancer, body: bytes, peer: str) -> None:
+    try:
+        snapshot = msgspec.msgpack.decode(body, type=Snapshot)
+    except msgspec.DecodeError as error:
+        log.warning("broken snapshot", extra={"peer": peer, "reason": str(error)})
+        return
+    take_configuration(balancer, snapshot.configuration, peer)
+    if balancer.members.revision:
+        return
+    news = [balancer.members.tell(member) for member in snapshot.members]
+    if any(news):
+        _members_are(balancer)
+
+
+async def prune(balancer: Balancer, store: PlatformStore) -> None:
+    """Take away the entries of members that are gone for good."""
+    now = asyncio.get_running_loop().time
+    while True:
+        await asyncio.sleep(PRUNE_SECONDS)
+        balancer.update_silences(now())
+        for address in balancer.entries_to_remove(now()):
+            removed = await store.remove_member(address)
+            extra = {"address": address, "done": removed.is_ok()}
+            log.info("entry of a silent member removed", extra=extra)
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/listing.py
@@ -0,0 +1,21 @@
+"""Lists a daemon in the platform's store."""
+
+from result import Err, Ok
+
+from cornelspan_common.logs import get_log
+from cornelspan_passthrough.members import Member
+from cornelspan_passthrough.store import Backoff, PlatformStore
+
+log = get_log(__name__)
+
+
+async def list_member(store: PlatformStore, member: Member, backoff: Backoff) -> None:
+    """List a member, again and again until the store has taken it."""
+    while True:
+        match await store.put_member(member):
+            case Ok(_):
+                log.info("listed", extra={"address": member.address})
+                return
+            case Err(error):
+                log.warning("not listed yet", extra={"reason": str(error)})
+                await backoff.wait()
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
@@ -117,6 +117,9 @@
         pulse = self.of(address)
         if pulse.unanswered <= self.missed_pings or pulse.first_asked_at is None:
             return False
+        if pulse.pong is not None and pulse.pong.state == DOWN:
+            # Its endpoint had gone before it fell silent, and its flows with it.
+            return True
         if pulse.pong is None:
             return now - pulse.first_asked_at > NEVER_HEARD_SECONDS
         return now - pulse.answered_at > LOST_SECONDS
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -17,10 +17,10 @@
 from cornelspan_passthrough.heads import PacketCodec
 from cornelspan_passthrough.hops import GONE, HELLO
 from cornelspan_passthrough.http import JSON, NOT_FOUND, Answer, Call, http_server
+from cornelspan_passthrough.listing import list_member
 from cornelspan_passthrough.members import AGENT, Member
 from cornelspan_passthrough.metrics import agent_page
 from cornelspan_passthrough.pulses import DOWN, Hello
-from cornelspan_passthrough.running_balancer import list_member
 from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
 from cornelspan_passthrough.store import Backoff, PlatformStore
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -7,26 +7,30 @@
 from contextlib import ExitStack
 
 import msgspec
-from result import Err, Ok, Result
 
-from cornelspan_common.calls import CallBudget, HttpCaller
 from cornelspan_common.logs import get_log
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.balancer import Balancer
-from cornelspan_passthrough.configuration import Configuration
 from cornelspan_passthrough.datagrams import DatagramSocket, datagram_socket
+from cornelspan_passthrough.following import (
+    SNAPSHOT_PATH,
+    Snapshot,
+    catch_up,
+    follow_configuration,
+    follow_members,
+    list_itself,
+    prune,
+)
 from cornelspan_passthrough.heads import PacketCodec
 from cornelspan_passthrough.hops import HELLO
 from cornelspan_passthrough.http import BINARY, NOT_FOUND, Answer, Call, http_server
-from cornelspan_passthrough.members import BALANCER, Member
+from cornelspan_passthrough.members import BALANCER
 from cornelspan_passthrough.metrics import balancer_page
 from cornelspan_passthrough.pulses import Hello
 from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
 from cornelspan_passthrough.store import (
     Backoff,
-    FollowError,
     PlatformStore,
-    follow,
 )
 from cornelspan_passthrough.waking import Suspensions
 
@@ -35,48 +39,18 @@
 # How soon an agent that comes up is noticed after a common loss of power; clients'
 # first packets wait for it.
 NEWCOMER_SECONDS = 0.05
-# A watch that went silent without a reset must be noticed well within the seconds in
-# which a change has to be in force. It is enough that one balancer notices, as its
-# pings tell the others: so all balancers together begin a watch of the configuration
-# each half second, and a large fleet makes no more calls than a small one. One that is
-# alone, or knows no others, takes two seconds.
-FLEET_WATCH_SECONDS = 0.5
-SHORTEST_WATCH_SECONDS = 2.0
-LONGEST_WATCH_SECONDS = 10.0
-# A change ends all balancers' watches at once. Of equal length, the next ones would all
-# begin, and go silent, in step.
-WATCH_JITTER = 0.5
-MEMBERS_WATCH_SECONDS = 10.0
-# Members come and go in bursts, and each change ends the watches of all balancers. A
-# pause before the next watch takes a burst in by one call; nothing waits for it, as
-# agents that stop say so and new ones speak to the seeds.
-MEMBERS_PAUSE_SECONDS = 1.0
-# A change that a peer has told is on its way here too; the store is asked only if the
-# watch has not brought it by then.
-BEHIND_SECONDS = 0.15
-SNAPSHOT_PATH = "/snapshot"
-PEER_CALLS_PER_SECOND = 10.0
-PEER_CALL_SECONDS = 1.0
 # Routers notice a balancer that leaves by two missed probes, half a second apart.
 ROUTERS_SECONDS = 1.5
 QUIET_SECONDS = 0.5
 # What is left of the time that a stop may take, for the process to end by itself.
 STOP_MARGIN_SECONDS = 1.0
 HELLO_SECONDS = 1.0
-PRUNE_SECONDS = 5.0
 
 ReadyPath = Callable[[Call], bool]
 
 log = get_log(__name__)
 
 
-class Snapshot(msgspec.Struct, frozen=True):
-    """What a balancer tells a peer that can't reach the store."""
-
-    configuration: Configuration | None
-    members: tuple[Member, ...]
-
-
 async def run_balancer(
     settings: PassthroughBalancerSettings,
     codec: PacketCodec,
@@ -117,16 +91,16 @@
         async with task_group() as tasks:
             backoffs = [Backoff(balancer.chance) for _ in range(3)]
             tasks.start(
-                _follow_configuration(balancer, store, backoffs[0]),
+                follow_configuration(balancer, store, backoffs[0]),
                 name="configuration",
             )
-            tasks.start(_follow_members(balancer, store, backoffs[1]), name="members")
-            tasks.start(_list_itself(balancer, store, backoffs[2]), name="listing")
-            tasks.start(_catch_up(balancer, store), name="catching up")
+            tasks.start(follow_members(balancer, store, backoffs[1]), name="members")
+            tasks.start(list_itself(balancer, store, backoffs[2]), name="listing")
+            tasks.start(catch_up(balancer, store), name="catching up")
             tasks.start(_ping(balancer), name="pings")
             tasks.start(_greet(balancer), name="greeting")
             tasks.start(_tick(balancer), name="tick")
-            tasks.start(_prune(balancer, store), name="pruning")
+            tasks.start(prune(balancer, store), name="pruning")
             log.info("started", extra={"address": settings.address})
             await stop.wait()
             await _leave(balancer)
@@ -170,166 +144,6 @@
     return Answer(200, msgspec.msgpack.encode(snapshot), BINARY)
 
 
-def take_configuration(
-    balancer: Balancer, configuration: Configuration | None, source: str
-) -> None:
-    """Take in a configuration if it is newer than the one in force."""
-    if configuration is None or not balancer.routes.replace(configuration):
-        return
-    balancer.newest_version = max(balancer.newest_version, configuration.version)
-    extra = {
-        "version": configuration.version,
-        "routes": len(configuration.routes),
-        "source": source,
-    }
-    log.info("configuration in force", extra=extra)
-
-
-async def _follow_configuration(
-    balancer: Balancer, store: PlatformStore, backoff: Backoff
-) -> None:
-    async def read() -> Result[int, FollowError]:
-        found = await store.read_configuration()
-        return found.map(take)
-
-    async def watch(revision: int) -> Result[int, FollowError]:
-        found = await store.watch_configuration(revision, _watch_seconds(balancer))
-        return found.map(take)
-
-    def take(found) -> int:  # noqa: ANN001
-        take_configuration(balancer, found.configuration, "store")
-        return found.revision
-
-    await follow("configuration", read, watch, backoff)
-
-
-def _watch_seconds(balancer: Balancer) -> float:
-    """Return how long the next watch of the configuration shall wait."""
-    fair = FLEET_WATCH_SECONDS * len(balancer.members.balancers())
-    seconds = min(LONGEST_WATCH_SECONDS, max(SHORTEST_WATCH_SECONDS, fair))
-    return seconds * (1 - WATCH_JITTER * balancer.chance.random())
-
-
-async def _follow_members(
-    balancer: Balancer, store: PlatformStore, backoff: Backoff
-) -> None:
-    async def read() -> Result[int, FollowError]:
-        match await store.list_members():
-            case Ok(found):
-                balancer.members.replace(found.members, found.revision)
-                _members_are(balancer)
-                return Ok(found.revision)
-            case error:
-                return error
-
-    async def watch(revision: int) -> Result[int, FollowError]:
-        match await store.watch_members(revision, MEMBERS_WATCH_SECONDS):
-            case Ok(found):
-                for member in found.changed:
-                    balancer.members.put(member, found.revision)
-                for address in found.removed:
-                    balancer.members.remove(address, found.revision)
-                    balancer.pulses.forget(address)
-                if found.changed or found.removed:
-                    _members_are(balancer)
-                    await asyncio.sleep(MEMBERS_PAUSE_SECONDS)
-                return Ok(found.revision)
-            case error:
-                return error
-
-    await follow("members", read, watch, backoff)
-
-
-def _members_are(balancer: Balancer) -> None:
-    balancer.members_changed()
-    members = balancer.members
-    extra = {
-        "agents": len(members.agents()),
-        "balancers": len(members.balancers()),
-        "revision": members.revision,
-    }
-    log.info("members known", extra=extra)
-
-
-async def _list_itself(
-    balancer: Balancer, store: PlatformStore, backoff: Backoff
-) -> None:
-    """List this balancer, so that agents' news and peers reach it."""
-    settings = balancer.settings
-    member = Member(settings.address, BALANCER, settings.datacentre)
-    await list_member(store, member, backoff)
-
-
-async def list_member(store: PlatformStore, member: Member, backoff: Backoff) -> None:
-    """List a member, again and again until the store has taken it."""
-    while True:
-        match await store.put_member(member):
-            case Ok(_):
-                log.info("listed", extra={"address": member.address})
-                return
-            case Err(error):
-                log.warning("not listed yet", extra={"reason": str(error)})
-                await backoff.wait()
-
-
-async def _catch_up(balancer: Balancer, store: PlatformStore) -> None:
-    """Fetch a configuration that a peer has and this balancer has not.
-
-    Its own watch may hang on a connection that went silent, or the store may turn just
-    this VM away: it would send flows by an old configuration while its peers use the
-    new one.
-    """
-    while True:
-        await asyncio.sleep(BEHIND_SECONDS)
-        if not _is_behind(balancer):
-            continue
-        await asyncio.sleep(BEHIND_SECONDS)
-        if not _is_behind(balancer):
-            continue
-        match await store.read_configuration():
-            case Ok(found):
-                take_configuration(balancer, found.configuration, "store")
-            case Err(error):
-                log.info("store can't help", extra={"reason": str(error)})
-        if _is_behind(balancer):
-            await _fetch_from_peer(balancer, balancer.newest_peer)
-
-
-def _is_behind(balancer: Balancer) -> bool:
-    return balancer.newest_version > balancer.routes.version
-
-
-async def _fetch_from_peer(balancer: Balancer, peer: str) -> None:
-    """Take configuration and members from a peer."""
-    port = balancer.settings.internal_port
-    budget = CallBudget(PEER_CALLS_PER_SECOND)
-    caller = HttpCaller(f"http://{peer}:{port}", budget, call_seconds=PEER_CALL_SECONDS)
-    try:
-        match await caller.send("GET", SNAPSHOT_PATH):
-            case Ok(response) if response.code == 200:
-                _take_snapshot(balancer, response.body, peer)
-            case Ok(response):
-                log.info("peer can't help", extra={"peer": peer, "code": response.code})
-            case Err(error):
-                log.info("peer can't help", extra={"peer": peer, "reason": str(error)})
-    finally:
-        caller.close()
-
-
-def _take_snapshot(balancer: Balancer, body: bytes, peer: str) -> None:
-    try:
-        snapshot = msgspec.msgpack.decode(body, type=Snapshot)
-    except msgspec.DecodeError as error:
-        log.warning("broken snapshot", extra={"peer": peer, "reason": str(error)})
-        return
-    take_configuration(balancer, snapshot.configuration, peer)
-    if balancer.members.revision:
-        return
-    news = [balancer.members.tell(member) for member in snapshot.members]
-    if any(news):
-        _members_are(balancer)
-
-
 async def _ping(balancer: Balancer) -> None:
     """Ask all agents and tell all balancers, spread over the interval."""
     pulse = balancer.settings.pulse
@@ -389,18 +203,6 @@
         balancer.tick(now())
 
 
-async def _prune(balancer: Balancer, store: PlatformStore) -> None:
-    """Take away the entries of members that are gone for good."""
-    now = asyncio.get_running_loop().time
-    while True:
-        await asyncio.sleep(PRUNE_SECONDS)
-        balancer.update_silences(now())
-        for address in balancer.entries_to_remove(now()):
-            removed = await store.remove_member(address)
-            extra = {"address": address, "done": removed.is_ok()}
-            log.info("entry of a silent member removed", extra=extra)
-
-
 async def _leave(balancer: Balancer) -> None:
     """Go on forwarding until routers send nothing more, within the grace."""
     balancer.stopping = True
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/searching.py
@@ -0,0 +1,147 @@
+"""Seeks the owners of flows that a balancer doesn't know; state: ``searches``."""
+
+from collections.abc import Iterable
+from ipaddress import IPv4Address
+from typing import TYPE_CHECKING
+
+from cornelspan_common.logs import get_log
+from cornelspan_passthrough import hops
+from cornelspan_passthrough.searches import Search
+from cornelspan_passthrough.heads import RST, SYN, Head, flow_text
+
+if TYPE_CHECKING:
+    from cornelspan_passthrough.balancer import Balancer
+
+log = get_log(__name__)
+
+
+def find_owner(balancer: "Balancer", head: Head, data: bytes, now: float) -> None:
+    """Begin a search for a packet's flow, or keep the packet for the one under way."""
+    search = balancer.searches.get(head.flow)
+    if search is not None:
+        search.keep(data)
+        missing = search.asked - search.without
+        if missing and balancer.questions.take(len(missing), now):
+            _ask(balancer, head.flow, missing)
+        return
+    if head.flags & RST:
+        balancer.counts["strays"] += 1
+        return
+    homes = list(balancer.homes.of(head.flow))
+    search = Search(data, head.acknowledged, now, homes)
+    balancer.searches.start(head.flow, search)
+    balancer.counts["searches"] += 1
+    ask_next(balancer, head.flow, search, now)
+
+
+def ask_next(balancer: "Balancer", flow: int, search: Search, now: float) -> None:
+    """Ask the flow's next home that answers, or all agents after the last."""
+    search.asked_at = now
+    while search.homes:
+        home = search.homes.pop(0)
+        if balancer.pulses.is_answering(home):
+            balancer.send(home, hops.encode_packet(hops.FIND, search.packet))
+            return
+    search.is_queued = True
+    ask_all(balancer, flow, search, now)
+
+
+def ask_all(balancer: "Balancer", flow: int, search: Search, now: float) -> None:
+    """Ask all agents, as soon as the rate of questions allows."""
+    agents = [member.address for member in balancer.members.agents()]
+    if not agents or not balancer.questions.take(len(agents), now):
+        return
+    search.is_queued = False
+    search.asked = frozenset(agents)
+    log.info(
+        "owner asked of all",
+        extra={"flow": flow_text(flow), "agents": len(agents)},
+    )
+    _ask(balancer, flow, search.asked)
+
+
+def _ask(balancer: "Balancer", flow: int, agents: Iterable[str]) -> None:
+    for address in agents:
+        balancer.send(address, hops.encode_note(hops.ASK, flow))
+
+
+def ask_newcomer(balancer: "Balancer", address: str) -> None:
+    """Ask an agent that has just come up what it was asked in vain before."""
+    for flow, search in balancer.searches.by_flow.items():
+        if address in search.asked and address not in search.without:
+            _ask(balancer, flow, [address])
+
+
+def owner_found(balancer: "Balancer", flow: int, owner: str, now: float) -> None:
+    """Send what has waited to the owner; a home has passed the first packet on."""
+    balancer.owners.learn(flow, owner)
+    search = balancer.searches.end(flow)
+    if search is None:
+        return
+    balancer.search_times.observe(now - search.started_at)
+    if search.asked:
+        _correct_homes(balancer, flow, owner)
+        balancer.send(owner, hops.encode_packet(hops.DELIVER, search.packet))
+    for packet in search.waiting:
+        balancer.send(owner, hops.encode_packet(hops.DELIVER, packet))
+
+
+def _correct_homes(balancer: "Balancer", flow: int, owner: str) -> None:
+    """Have the homes record the owner that they did not know."""
+    agent = int(IPv4Address(owner))
+    for home in balancer.homes.of(flow):
+        balancer.send(home, hops.encode_note(hops.RECORD, flow, agent=agent))
+
+
+def owner_denied(
+    balancer: "Balancer", flow: int, agent: str, packet: bytes, now: float
+) -> None:
+    """Take in that an agent's endpoint doesn't hold a flow."""
+    search = balancer.searches.get(flow)
+    if search is None:
+        _lost_owner(balancer, flow, agent, packet, now)
+        return
+    search.without.add(agent)
+    if not search.asked and not search.is_queued:
+        # A home named this agent. Asked again, homes would name it again: a first
+        # packet that two endpoints answered leaves the record of whichever spoke
+        # last, and the client takes up either.
+        search.homes.clear()
+        ask_next(balancer, flow, search, now)
+    end_if_dead(balancer, flow, search, now)
+
+
+def _lost_owner(
+    balancer: "Balancer", flow: int, agent: str, packet: bytes, now: float
+) -> None:
+    """Search anew for the owner of a flow that is not where it was thought."""
+    if balancer.owners.owner(flow) != agent:
+        return
+    balancer.owners.learn(flow, "")
+    head = balancer.codec.read_client(packet)
+    if head is None or head.flags & SYN:
+        return
+    log.info("owner lost", extra={"flow": flow_text(flow), "agent": agent})
+    search = Search(packet, head.acknowledged, now, [], without={agent})
+    balancer.searches.start(flow, search)
+    ask_next(balancer, flow, search, now)
+
+
+def end_if_dead(balancer: "Balancer", flow: int, search: Search, now: float) -> None:
+    """Reset a flow that no endpoint holds.
+
+    Its client would repeat packets until its time budget ends. Each agent has said
+    so itself, or has been silent for so long that its VM serves nobody, so no flow
+    that could be served is met.
+    """
+    if not search.is_exhausted(lambda address: balancer.pulses.is_lost(address, now)):
+        return
+    balancer.searches.end(flow)
+    extra = {
+        "flow": flow_text(flow),
+        "agents": len(search.asked),
+        "silent": len(search.asked - search.without),
+    }
+    log.info("flow dead, reset", extra=extra)
+    balancer.counts["dead_flows"] += 1
+    balancer.reset(flow, search.acknowledged)
--- a/tests/test_passthrough_flows.py
+++ b/tests/test_passthrough_flows.py
@@ -362,8 +362,8 @@
 def test_questions_of_a_crowd_of_dead_flows_are_spread(world):
     """Callers of dead flows are told one after the other, and the balancer stays up.
 
-    All endpoints lost their flows. Asked for all at once, the questions for each flow to
-    each agent fill a small VM's link, and with them go the answers to its pings.
+    All endpoints lost their flows. Asked at once, the questions for each flow to each
+    agent fill a small VM's link, and with them go the answers to its pings.
     """
     clients = [world.open_flow(over=BALANCERS[0]) for _ in range(40)]
     world.run(0.5)
@@ -381,3 +381,26 @@
     assert len(asked) <= 20 + 0.2 * 100 + len(ORDERS) + len(RECEIPTS)
     world.run(2.5)
     assert all("reset" in client.events for client in clients)
+
+
+def test_an_agent_whose_endpoint_had_gone_is_not_waited_for(world):
+    """The caller of a dead flow is told without the wait for a silent agent.
+
+    A VM's endpoint left, then the VM goes without a word. Whatever the endpoint held
+    ended with it, so its silence can hide nothing.
+    """
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.2)
+    for address in (*ORDERS, *RECEIPTS):
+        world.endpoints[address].flows.clear()
+        world.start_agent(address)
+    gone = RECEIPTS[0]
+    world.endpoints[gone].crash()
+    world.agents[gone].endpoint_refuses()
+    world.run(0.3)
+    world.remove(gone)
+    world.run(0.9)
+    world.move(client, over=BALANCERS[1])
+    client.request()
+    world.run(0.2)
+    assert client.events == ["open", "answer", "reset"]
--- a/tests/test_passthrough_placing.py
+++ b/tests/test_passthrough_placing.py
@@ -2,6 +2,7 @@
 
 import random
 
+from cornelspan_passthrough.flows import FlowTable
 from cornelspan_passthrough.placing import Candidate, choose
 from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Pong, Pulse
 from cornelspan_standins.packet_world import PacketWorld
@@ -120,3 +121,23 @@
     world.run(0.05)
     assert all(client.events == ["open"] for client in clients)
     assert world.agents[second].counts["flows_taken"] == 4
+
+
+def test_flows_that_ended_are_no_load():
+    """Callers' new flows go to the endpoint with less work to come.
+
+    A flow is remembered for a while after its end, for late packets. Counted as open, a
+    crowd of short flows made an endpoint look busy for ten seconds.
+    """
+    table = FlowTable(flow_seconds=60.0)
+    for number in range(3):
+        owned = table.start(number, "", (0, 0), 0.0)
+        table.sent(owned, 0, 10, 0.0)
+        table.answered(owned, 10, 0.1)
+    assert table.open_flows == 3
+    table.end(table.get(0))
+    table.end(table.get(0))
+    table.remove(1)
+    assert (table.open_flows, len(table)) == (1, 2)
+    table.remove(0)
+    assert table.open_flows == 1
