Take requests for lost that have run many times the usual

Change: a request that has run 8 paces, 0.4 s at least, no longer counts; neither does one whose client reset the flow or whose packet was sent back. The line is looked at each 50 ms. Two tests; they fail with the old limit of five seconds.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -231,6 +231,7 @@
             return
         if head.flags & BOUNCED:
             self._bounced(head, data, now)
+            release(self, now)
             return
         self.local.send(data, (client_address(head.flow), self.client_port))
         owned = self.flows.get(head.flow)
@@ -239,9 +240,9 @@
         if head.flags & SYN:
             self._taken(head.flow, owned)
             return
-        self.flows.answered(owned, head.length, now)
+        self.flows.answered(head.flow, owned, head.length, now)
         if head.flags & (FIN | RST):
-            self.flows.end(owned)
+            self.flows.end(head.flow, owned)
             self.waiting.remove(head.flow)
         release(self, now)
 
@@ -356,7 +357,6 @@
     def sweep(self, now: float) -> None:
         """Forget what is too old."""
         self.flows.sweep(now)
-        release(self, now)
         self.directory.sweep(now)
         for flow in list(self.asked):
             if now - self.asked[flow][1] <= ASKED_SECONDS:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -17,7 +17,7 @@
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.configuration import RouteTable
 from cornelspan_passthrough.datagrams import DatagramSocket
-from cornelspan_passthrough.searches import QUESTIONS_PER_SECOND, Searches
+from cornelspan_passthrough.first_packets import open_flow, place_anew, place_held
 from cornelspan_passthrough.heads import (
     SYN,
     PacketCodec,
@@ -28,10 +28,10 @@
 from cornelspan_passthrough.homes import Homes
 from cornelspan_passthrough.members import AGENT, BALANCER, Member, Members
 from cornelspan_passthrough.openings import Openings
-from cornelspan_passthrough.first_packets import open_flow, place_anew, place_held
 from cornelspan_passthrough.placing import takes_flows
 from cornelspan_passthrough.pruning import Silences, is_pruner
 from cornelspan_passthrough.pulses import Hello, Ping, Pong, Pulses
+from cornelspan_passthrough.searches import QUESTIONS_PER_SECOND, Searches
 from cornelspan_passthrough.searching import (
     ask_all,
     ask_newcomer,
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
@@ -5,7 +5,7 @@
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.flows import NO_REQUEST, OwnedFlow
-from cornelspan_passthrough.heads import FIN, RST, Head, address_text, flow_text
+from cornelspan_passthrough.heads import RST, Head, address_text, flow_text
 from cornelspan_passthrough.pulses import DOWN
 from cornelspan_passthrough.waiting import Held
 
@@ -47,6 +47,7 @@
         if agent.waiting.holds(head.flow):
             agent.waiting.add(head.flow, packet, head.sequence)
             return
+        agent.flows.forget_lost_requests(now)
         if agent.flows.running >= room(agent):
             deadline = now + owned.budget_seconds
             held = Held(owned.priority, deadline, now)
@@ -63,9 +64,10 @@
                 },
             )
             return
-    elif head.flags & (FIN | RST):
+    elif head.flags & RST:
+        agent.flows.end_request(head.flow, owned)
         agent.waiting.remove(head.flow)
-    agent.flows.sent(owned, head.acknowledged, head.length, now)
+    agent.flows.sent(head.flow, owned, head.acknowledged, head.length, now)
     agent.to_endpoint(packet, hops.DELIVER)
 
 
@@ -76,6 +78,9 @@
 
 def release(agent: "Agent", now: float) -> None:
     """Hand over requests that wait, as far as there is room."""
+    if not agent.waiting:
+        return
+    agent.flows.forget_lost_requests(now)
     while agent.flows.running < room(agent):
         for expired in agent.waiting.forget_expired(now):
             extra = {"flow": flow_text(expired), "reason": "time budget spent"}
@@ -94,7 +99,7 @@
         for packet in held.packets.values():
             head = agent.codec.read_client(packet)
             if head is not None:
-                agent.flows.sent(owned, head.acknowledged, head.length, now)
+                agent.flows.sent(head.flow, owned, head.acknowledged, head.length, now)
                 agent.to_endpoint(packet, hops.DELIVER)
 
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -10,9 +10,12 @@
 # that it neither pushes in nor starves.
 UNKNOWN_PRIORITY = 1
 UNKNOWN_BUDGET_SECONDS = 2.0
-# An endpoint that has not answered a request by now has lost it, or its client has
-# gone; counted on, it would take up room for good. Longer than usual time budgets.
-LOST_REQUEST_SECONDS = 5.0
+# A request that has run this many times the usual is no longer taken to fill a slot:
+# its client has gone, or the endpoint is grey and will never answer. Counted on, a few
+# of them took up all the room of a one-slot endpoint, and what waited there was dropped
+# unrun five seconds later. Should it still run, the endpoint's own queue has room.
+LOST_REQUEST_PACES = 8.0
+LOST_REQUEST_SECONDS = 0.4
 # The share of a new measure in the endpoint's pace.
 PACE_SHARE = 0.1
 # Late packets of a flow that has ended still go to the endpoint, which answers them.
@@ -51,13 +54,13 @@
 class FlowTable:
     """Flows by number.
 
-    ``running`` counts those with a request at the endpoint, ``open_flows`` those that
-    are open and have not ended: what will send again.
+    ``requests`` holds when each flow's request went to the endpoint, in that order.
+    ``open_flows`` counts flows that are open and have not ended: what will send again.
     """
 
     flow_seconds: float
     by_flow: dict[int, OwnedFlow] = field(default_factory=dict)
-    running: int = 0
+    requests: dict[int, float] = field(default_factory=dict)
     open_flows: int = 0
     pace_seconds: float = 0.0
     starts: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_STARTS))
@@ -66,6 +69,11 @@
     def __len__(self) -> int:
         return len(self.by_flow)
 
+    @property
+    def running(self) -> int:
+        """How many requests are at the endpoint."""
+        return len(self.requests)
+
     def get(self, flow: int) -> OwnedFlow | None:
         """Return a flow, None if it isn't known here."""
         return self.by_flow.get(flow)
@@ -87,16 +95,16 @@
         return sum(1 for at in self.starts if at > then)
 
     def sent(
-        self, owned: OwnedFlow, acknowledged: int, length: int, now: float
+        self, flow: int, owned: OwnedFlow, acknowledged: int, length: int, now: float
     ) -> None:
         """Note a packet on its way to the endpoint; data begins a request."""
         owned.used_at = now
         owned.acknowledged = acknowledged
         if length and owned.request_at == NO_REQUEST:
             owned.request_at = now
-            self.running += 1
+            self.requests[flow] = now
 
-    def answered(self, owned: OwnedFlow, length: int, now: float) -> None:
+    def answered(self, flow: int, owned: OwnedFlow, length: int, now: float) -> None:
         """Note a packet of the endpoint after its first; data answers the request."""
         owned.used_at = now
         if not owned.opened:
@@ -104,45 +112,49 @@
             self.open_flows += 1
         if length and owned.request_at != NO_REQUEST:
             took = now - owned.request_at
-            self.end_request(owned)
+            self.end_request(flow, owned)
             self.answer_times.observe(took)
             self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
 
-    def end(self, owned: OwnedFlow) -> None:
+    def end(self, flow: int, owned: OwnedFlow) -> None:
         """Note that one of its ends has closed a flow."""
-        self.end_request(owned)
+        self.end_request(flow, owned)
         if owned.opened and not owned.ended:
             self.open_flows -= 1
         owned.ended = True
 
-    def end_request(self, owned: OwnedFlow) -> None:
+    def end_request(self, flow: int, owned: OwnedFlow) -> None:
         """Note that a flow's request no longer runs."""
-        if owned.request_at != NO_REQUEST:
-            owned.request_at = NO_REQUEST
-            self.running -= 1
+        owned.request_at = NO_REQUEST
+        self.requests.pop(flow, None)
+
+    def forget_lost_requests(self, now: float) -> None:
+        """Forget requests that have run for so long that they are taken for lost."""
+        usual = LOST_REQUEST_PACES * self.pace_seconds
+        limit = max(LOST_REQUEST_SECONDS, usual)
+        for flow, began_at in list(self.requests.items()):
+            if now - began_at <= limit:
+                return
+            self.end_request(flow, self.by_flow[flow])
 
     def remove(self, flow: int) -> OwnedFlow | None:
         """Forget a flow and return it."""
         owned = self.by_flow.pop(flow, None)
         if owned is not None:
-            was_ended = owned.ended
-            self.end(owned)
-            owned.ended = was_ended
+            self.end(flow, owned)
         return owned
 
     def clear(self) -> list[tuple[int, OwnedFlow]]:
         """Forget all flows and return them."""
         flows = list(self.by_flow.items())
         self.by_flow = {}
-        self.running = 0
+        self.requests = {}
         self.open_flows = 0
         return flows
 
     def sweep(self, now: float) -> None:
         """Forget flows that have ended, or are too old to be spoken of."""
         for flow, owned in list(self.by_flow.items()):
-            if now - owned.request_at > LOST_REQUEST_SECONDS:
-                self.end_request(owned)
             kept = ENDED_SECONDS if owned.ended else self.flow_seconds
             if now - owned.used_at > kept:
                 self.remove(flow)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -13,6 +13,7 @@
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.agent import Agent
 from cornelspan_passthrough.datagrams import datagram_socket
+from cornelspan_passthrough.delivering import release
 from cornelspan_passthrough.endpoint import Report
 from cornelspan_passthrough.heads import PacketCodec
 from cornelspan_passthrough.hops import GONE, HELLO
@@ -25,6 +26,8 @@
 from cornelspan_passthrough.store import Backoff, PlatformStore
 
 SWEEP_SECONDS = 2.0
+# How often requests that wait are looked at when nothing else makes room for them.
+RELEASE_SECONDS = 0.05
 # The endpoint's life is looked at this often while a report is missing.
 PROBE_SECONDS = 0.1
 PROBE_TIMEOUT_SECONDS = 0.3
@@ -103,6 +106,7 @@
             tasks.start(_stay_listed(agent, store), name="listing")
             tasks.start(_watch_endpoint(agent), name="endpoint")
             tasks.start(_sweep(agent), name="sweep")
+            tasks.start(_release(agent), name="release")
             log.info("started", extra={"address": settings.address})
             await stop.wait()
             await _leave(agent, store)
@@ -229,6 +233,14 @@
     return Probe.TAKEN
 
 
+async def _release(agent: Agent) -> None:
+    """Let waiting requests go on when those at the endpoint are taken for lost."""
+    now = asyncio.get_running_loop().time
+    while True:
+        await asyncio.sleep(RELEASE_SECONDS)
+        release(agent, now())
+
+
 async def _sweep(agent: Agent) -> None:
     now = asyncio.get_running_loop().time
     while True:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/searching.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/searching.py
@@ -6,8 +6,8 @@
 
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough import hops
-from cornelspan_passthrough.searches import Search
 from cornelspan_passthrough.heads import RST, SYN, Head, flow_text
+from cornelspan_passthrough.searches import Search
 
 if TYPE_CHECKING:
     from cornelspan_passthrough.balancer import Balancer
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
@@ -101,6 +101,7 @@
     running: int = 0
     queued: list[Callable[[], None]] = field(default_factory=list)
     shed: int = 0
+    mute: int = 0
     opened: int = 0
     bounced: int = 0
 
@@ -150,7 +151,13 @@
         return True
 
     def _take(self, answer: Callable[[], None]) -> None:
-        """Work on a request, queue it, or shed it and never answer."""
+        """Work on a request, queue it, or shed it and never answer.
+
+        ``mute`` counts requests that it forgets at once.
+        """
+        if self.mute:
+            self.mute -= 1
+            return
         if self.running < self.slots:
             self.running += 1
             self.after(self.work_seconds, lambda: self._done(answer))
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
@@ -20,6 +20,7 @@
 from cornelspan_passthrough.agent import Agent
 from cornelspan_passthrough.balancer import Balancer
 from cornelspan_passthrough.configuration import Configuration, Route, Share
+from cornelspan_passthrough.delivering import release
 from cornelspan_passthrough.endpoint import Report
 from cornelspan_passthrough.heads import route_number
 from cornelspan_passthrough.members import AGENT, BALANCER, Member
@@ -232,6 +233,8 @@
     def _tick(self) -> None:
         for balancer in self.balancers.values():
             balancer.tick(self.now)
+        for agent in self.agents.values():
+            release(agent, self.now)
         self.after(TICK_SECONDS, self._tick)
 
     def _ping(self) -> None:
--- a/tests/test_passthrough_placing.py
+++ b/tests/test_passthrough_placing.py
@@ -132,11 +132,11 @@
     table = FlowTable(flow_seconds=60.0)
     for number in range(3):
         owned = table.start(number, "", (0, 0), 0.0)
-        table.sent(owned, 0, 10, 0.0)
-        table.answered(owned, 10, 0.1)
+        table.sent(number, owned, 0, 10, 0.0)
+        table.answered(number, owned, 10, 0.1)
     assert table.open_flows == 3
-    table.end(table.get(0))
-    table.end(table.get(0))
+    table.end(0, table.get(0))
+    table.end(0, table.get(0))
     table.remove(1)
     assert (table.open_flows, len(table)) == (1, 2)
     table.remove(0)
--- a/tests/test_passthrough_waiting.py
+++ b/tests/test_passthrough_waiting.py
@@ -68,3 +68,43 @@
     world.run(1.5)
     assert world.endpoints[AGENT].shed == 0
     assert all(client.events == ["open", "answer"] for client in clients)
+
+
+def test_requests_that_are_never_answered_do_not_stop_the_line():
+    """Callers after a few unlucky ones get their answers within a second.
+
+    The endpoint says nothing to its first requests, as grey ones do, or their clients
+    have gone. Counted as running for good, they would take up all its room and every
+    later request would wait until it is dropped.
+    """
+    world = PacketWorld(seed=1)
+    world.add_agent(AGENT, "orders")
+    endpoint = world.endpoints[AGENT]
+    endpoint.mute = 3
+    world.add_balancer(BALANCER)
+    world.run(1.0)
+    unlucky = [world.open_flow(over=BALANCER) for _ in range(3)]
+    world.run(0.05)
+    assert all(client.events == ["open"] for client in unlucky)
+    clients = [world.open_flow(over=BALANCER) for _ in range(10)]
+    world.run(1.0)
+    assert all(client.events == ["open", "answer"] for client in clients)
+
+
+def test_a_flow_that_turns_out_foreign_makes_room():
+    """The next request goes out as soon as the endpoint has sent a packet back."""
+    world = PacketWorld(seed=1)
+    world.add_agent(AGENT, "orders")
+    endpoint = world.endpoints[AGENT]
+    world.add_balancer(BALANCER)
+    world.run(1.0)
+    clients = [world.open_flow(over=BALANCER) for _ in range(3)]
+    world.run(0.5)
+    for client in clients:
+        del endpoint.flows[(client.address, client.port)]
+    endpoint.work_seconds = 0.3
+    for client in clients:
+        client.request()
+    world.run(0.05)
+    assert all(client.events[-1] == "reset" for client in clients)
+    assert world.agents[AGENT].flows.running == 0
