--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -105,7 +105,11 @@
             self.requests[flow] = now
 
     def answered(self, flow: int, owned: OwnedFlow, length: int, now: float) -> None:
-        """Note a packet of the endpoint after its first; data answers the request."""
+        """Note a packet of the endpoint after its first; data answers the request.
+
+        One that acknowledges part of a longer request makes this count one too few
+        for a while, which the endpoint's own queue takes up.
+        """
         owned.used_at = now
         if not owned.opened:
             owned.opened = True
@@ -115,6 +119,11 @@
             self.end_request(flow, owned)
             self.answer_times.observe(took)
             self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
+        elif not length:
+            # A bare acknowledgement: the endpoint has had this request before. Its
+            # answer was lost with a process of the system, and it sends that again by
+            # its own clock, up to 1.6 s later. Nothing runs, so no slot is filled.
+            self.end_request(flow, owned)
 
     def end(self, flow: int, owned: OwnedFlow) -> None:
         """Note that one of its ends has closed a flow."""
--- a/tests/test_passthrough_waiting.py
+++ b/tests/test_passthrough_waiting.py
@@ -1,5 +1,6 @@
 """The line of requests before a full endpoint."""
 
+from cornelspan_passthrough.flows import FlowTable
 from cornelspan_passthrough.waiting import LIMIT, Held, WaitingLine
 from cornelspan_standins.packet_world import PacketWorld
 
@@ -108,3 +109,18 @@
     world.run(0.05)
     assert all(client.events[-1] == "reset" for client in clients)
     assert world.agents[AGENT].flows.running == 0
+
+
+def test_a_request_that_the_endpoint_has_had_before_fills_no_slot():
+    """Callers after a restart of all daemons don't wait behind requests that have run.
+
+    Answers were lost with the daemons. Clients repeat their requests; the endpoint
+    acknowledges them, does nothing, and sends its answers again by its own clock.
+    """
+    table = FlowTable(flow_seconds=60.0)
+    owned = table.start(1, "", (0, 0), 0.0)
+    table.sent(1, owned, 0, 10, 1.0)
+    assert table.running == 1
+    table.answered(1, owned, 0, 1.001)
+    assert table.running == 0
+    assert table.pace_seconds == 0.0
