Part the agent package into ownership of flows and HTTP requests

The agent held two subjects. cornelspan_ownership has the owners of flows, placement and the way of packets, cornelspan_requests the HTTP gateway, admission, keys and outcomes; cornelspan_agent puts them together. No code changed but the names of modules.

--- a/packages/cornelspan-agent/src/cornelspan_agent/daemon.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/daemon.py
@@ -8,11 +8,6 @@
 
 import msgspec
 
-from cornelspan_agent.flows import Flows
-from cornelspan_agent.gateway import Gateway, Peers, gateway
-from cornelspan_agent.placement import OwnLoad
-from cornelspan_agent.reporting import report_counts, report_last
-from cornelspan_agent.router import OwnershipMessage, Router
 from cornelspan_agent.serving import serve_bytes, serve_http
 from cornelspan_common.channel import Channel
 from cornelspan_common.control import Announce, Gone
@@ -28,6 +23,11 @@
 from cornelspan_control.control_plane import Control, control_plane
 from cornelspan_control.members import Members
 from cornelspan_control.profiles import Profile
+from cornelspan_ownership.flows import Flows
+from cornelspan_ownership.placement import OwnLoad
+from cornelspan_ownership.router import OwnershipMessage, Router
+from cornelspan_requests.gateway import Gateway, Peers, gateway
+from cornelspan_requests.reporting import report_counts, report_last
 
 DEFAULT_PROFILE = Profile(name="default")
 
--- a/packages/cornelspan-agent/src/cornelspan_agent/serving.py
+++ b/packages/cornelspan-agent/src/cornelspan_agent/serving.py
@@ -5,10 +5,10 @@
 
 from tornado.iostream import IOStream
 
-from cornelspan_agent.gateway import Gateway
 from cornelspan_common.channel import Channel
 from cornelspan_common.pump import pump
 from cornelspan_common.settings import Address
+from cornelspan_requests.gateway import Gateway
 
 
 async def serve_bytes(channel: Channel, endpoint: Address) -> None:
--- a/packages/cornelspan-agent/src/cornelspan_agent/group.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/group.py
@@ -6,10 +6,10 @@
 
 from result import Result
 
-from cornelspan_agent.directory import Holder
-from cornelspan_agent.placement import OwnLoad
 from cornelspan_common.ownership import Claim, ClaimAnswer, Handoff, HandoffAnswer
 from cornelspan_common.packets import Packet
+from cornelspan_ownership.directory import Holder
+from cornelspan_ownership.placement import OwnLoad
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cornelspan-agent/src/cornelspan_agent/loadnews.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/loadnews.py
@@ -2,14 +2,14 @@
 
 from collections import deque
 
-from cornelspan_agent.placement import (
+from cornelspan_common.channel import Channel
+from cornelspan_common.ownership import Load
+from cornelspan_ownership.placement import (
     LOAD_SECONDS,
     OwnLoad,
     mean_has_moved,
     tells_at_once,
 )
-from cornelspan_common.channel import Channel
-from cornelspan_common.ownership import Load
 
 SILENT_SECONDS = 0.25
 SILENT_FLOWS = 1024
--- a/packages/cornelspan-agent/src/cornelspan_agent/localflows.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/localflows.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cornelspan_agent.flows import Flows
-from cornelspan_agent.placement import OwnLoad
 from cornelspan_common.packets import Packet
+from cornelspan_ownership.flows import Flows
+from cornelspan_ownership.placement import OwnLoad
 
 
 @dataclass
--- a/packages/cornelspan-agent/src/cornelspan_agent/ownership.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/ownership.py
@@ -20,8 +20,10 @@
 
 from result import Err, Ok, Result
 
-from cornelspan_agent.directory import Directory, Holder, Records
-from cornelspan_agent.group import (
+from cornelspan_common.ownership import Claim, ClaimAnswer, Handoff, HandoffAnswer
+from cornelspan_common.packets import Packet
+from cornelspan_ownership.directory import Directory, Holder, Records
+from cornelspan_ownership.group import (
     Answered,
     Ask,
     AskError,
@@ -33,7 +35,7 @@
     Refused,
     Wait,
 )
-from cornelspan_agent.placement import (
+from cornelspan_ownership.placement import (
     HANDOFF_TRIES,
     NO_LIMIT,
     Loads,
@@ -41,8 +43,6 @@
     choose,
     load_message,
 )
-from cornelspan_common.ownership import Claim, ClaimAnswer, Handoff, HandoffAnswer
-from cornelspan_common.packets import Packet
 
 OPEN_HOPS = 6
 PLACING_STEPS = 16
--- a/packages/cornelspan-agent/src/cornelspan_agent/peers.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/peers.py
@@ -5,13 +5,13 @@
 
 from result import Err, Ok
 
-from cornelspan_agent.directory import Holder
-from cornelspan_agent.group import Answer, Answered, AskError
 from cornelspan_common.hashing import name_seed, score
 from cornelspan_common.ownership import Claim, Handoff
 from cornelspan_common.packets import Message
 from cornelspan_control.members import Members
 from cornelspan_control.ranking import Ranking
+from cornelspan_ownership.directory import Holder
+from cornelspan_ownership.group import Answer, Answered, AskError
 
 SETTLE_SECONDS = 15.0
 ASK_SECONDS = 0.5
--- a/packages/cornelspan-agent/src/cornelspan_agent/promises.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/promises.py
@@ -1,8 +1,5 @@
 """What an agent answers its peers about flows, and what it promises by that."""
 
-from cornelspan_agent.directory import Holder
-from cornelspan_agent.ownership import Ownership
-from cornelspan_agent.placement import load_message, takes
 from cornelspan_common.ownership import (
     Claim,
     ClaimAnswer,
@@ -10,6 +7,9 @@
     HandoffAnswer,
     Owner,
 )
+from cornelspan_ownership.directory import Holder
+from cornelspan_ownership.ownership import Ownership
+from cornelspan_ownership.placement import load_message, takes
 
 
 def answer_claim(state: Ownership, claim: Claim) -> ClaimAnswer | None:
--- a/packages/cornelspan-agent/src/cornelspan_agent/router.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/router.py
@@ -5,15 +5,6 @@
 
 import msgspec
 
-from cornelspan_agent import promises
-from cornelspan_agent.directory import Directory, Holder
-from cornelspan_agent.flows import Flows
-from cornelspan_agent.group import At, PassOn, Refused, Wait
-from cornelspan_agent.loadnews import LoadNews, SilentFlows
-from cornelspan_agent.localflows import LocalFlows, RoutingCounts
-from cornelspan_agent.ownership import OPEN_HOPS, Ownership
-from cornelspan_agent.peers import Questions, ServiceGroup
-from cornelspan_agent.placement import OwnLoad, load_message
 from cornelspan_common.links import Links
 from cornelspan_common.ownership import (
     Claim,
@@ -29,6 +20,15 @@
 from cornelspan_common.tasks import Tasks
 from cornelspan_control.configuration import Configuration
 from cornelspan_control.members import Members
+from cornelspan_ownership import promises
+from cornelspan_ownership.directory import Directory, Holder
+from cornelspan_ownership.flows import Flows
+from cornelspan_ownership.group import At, PassOn, Refused, Wait
+from cornelspan_ownership.loadnews import LoadNews, SilentFlows
+from cornelspan_ownership.localflows import LocalFlows, RoutingCounts
+from cornelspan_ownership.ownership import OPEN_HOPS, Ownership
+from cornelspan_ownership.peers import Questions, ServiceGroup
+from cornelspan_ownership.placement import OwnLoad, load_message
 
 IDLE_SECONDS = 600.0
 LOOK_SECONDS = 0.02
--- a/packages/cornelspan-agent/src/cornelspan_agent/admission.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/admission.py
@@ -10,10 +10,10 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from cornelspan_agent.outcomes import Outcome, Reason, Refusal
-from cornelspan_agent.queue import Place, RequestQueue, Ticket
-from cornelspan_agent.servicetimes import ServiceTimes
 from cornelspan_control.profiles import RequestPolicy
+from cornelspan_requests.outcomes import Outcome, Reason, Refusal
+from cornelspan_requests.queue import Place, RequestQueue, Ticket
+from cornelspan_requests.servicetimes import ServiceTimes
 
 LEAST_RETRY_AFTER = 1.0
 QUEUE_BYTES = 33554432
--- a/packages/cornelspan-agent/src/cornelspan_agent/backend.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/backend.py
@@ -20,8 +20,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
-from cornelspan_agent.exchange import Request, end_to_end
-from cornelspan_agent.outcomes import (
+from cornelspan_common.settings import Address
+from cornelspan_requests.exchange import Request, end_to_end
+from cornelspan_requests.outcomes import (
     DEADLINE_HEADER,
     NOT_RUN_HEADER,
     OUTCOME_HEADER,
@@ -30,7 +31,6 @@
     Reason,
     Refusal,
 )
-from cornelspan_common.settings import Address
 
 SHED_STATUS = 503
 BODYLESS = (204, 304)
--- a/packages/cornelspan-agent/src/cornelspan_agent/claims.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/claims.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cornelspan_agent.electorate import Electorate, majority
-from cornelspan_agent.keys import KeyState, Ledger, Verdict, done_record
 from cornelspan_common.hashing import name_seed, rank
 from cornelspan_common.packets import Message
 from cornelspan_common.requests import (
@@ -27,6 +25,8 @@
     KeyVote,
     Token,
 )
+from cornelspan_requests.electorate import Electorate, majority
+from cornelspan_requests.keys import KeyState, Ledger, Verdict, done_record
 
 VOTE_SECONDS = 0.5
 QUORUM_SECONDS = 3.0
--- a/packages/cornelspan-agent/src/cornelspan_agent/dispatch.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/dispatch.py
@@ -13,23 +13,23 @@
 from msgspec import structs
 from result import Err, Ok, Result
 
-from cornelspan_agent.admission import LEAST_RETRY_AFTER
-from cornelspan_agent.backend import AnswerSink
-from cornelspan_agent.ejection import Standing
-from cornelspan_agent.endpoint import Endpoint
-from cornelspan_agent.exchange import Request
-from cornelspan_agent.handoff import Handoffs
-from cornelspan_agent.outcomes import Outcome, Reason, Refusal
-from cornelspan_agent.placement import (
+from cornelspan_common.packets import Message
+from cornelspan_control.profiles import Profile
+from cornelspan_ownership.placement import (
     UNMEASURED,
     Loads,
     OwnLoad,
     PeerLoad,
     choose,
 )
-from cornelspan_agent.retries import Draw, RetryBudget, is_repeatable, pause_before
-from cornelspan_common.packets import Message
-from cornelspan_control.profiles import Profile
+from cornelspan_requests.admission import LEAST_RETRY_AFTER
+from cornelspan_requests.backend import AnswerSink
+from cornelspan_requests.ejection import Standing
+from cornelspan_requests.endpoint import Endpoint
+from cornelspan_requests.exchange import Request
+from cornelspan_requests.handoff import Handoffs
+from cornelspan_requests.outcomes import Outcome, Reason, Refusal
+from cornelspan_requests.retries import Draw, RetryBudget, is_repeatable, pause_before
 
 MOST_MOVES = 2
 UNSEEN_SECONDS = 0.01
--- a/packages/cornelspan-agent/src/cornelspan_agent/endpoint.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/endpoint.py
@@ -12,19 +12,19 @@
 
 from result import Err, Ok, Result
 
-from cornelspan_agent.admission import LEAST_RETRY_AFTER, Admission, Given
-from cornelspan_agent.backend import AnswerSink, call
-from cornelspan_agent.ejection import Judgement, Standing, has_room, must_return
-from cornelspan_agent.exchange import Request
-from cornelspan_agent.outcomes import Outcome, Reason, Refusal
-from cornelspan_agent.placement import UNMEASURED
-from cornelspan_agent.queue import Ticket
-from cornelspan_agent.servicetimes import ServiceTimes
-from cornelspan_agent.slowstart import SlowStart
 from cornelspan_common.logs import get_log
 from cornelspan_common.ownership import Load
 from cornelspan_common.settings import Address
 from cornelspan_control.profiles import Profile
+from cornelspan_ownership.placement import UNMEASURED
+from cornelspan_requests.admission import LEAST_RETRY_AFTER, Admission, Given
+from cornelspan_requests.backend import AnswerSink, call
+from cornelspan_requests.ejection import Judgement, Standing, has_room, must_return
+from cornelspan_requests.exchange import Request
+from cornelspan_requests.outcomes import Outcome, Reason, Refusal
+from cornelspan_requests.queue import Ticket
+from cornelspan_requests.servicetimes import ServiceTimes
+from cornelspan_requests.slowstart import SlowStart
 
 SERVER_ERROR = 500
 LEAST_MEASURED = 20
--- a/packages/cornelspan-agent/src/cornelspan_agent/exchange.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/exchange.py
@@ -18,7 +18,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from cornelspan_agent.outcomes import (
+from cornelspan_requests.outcomes import (
     AnswerHead,
     Refusal,
     refusal_head,
--- a/packages/cornelspan-agent/src/cornelspan_agent/gateway.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/gateway.py
@@ -13,33 +13,6 @@
 from result import Err, Ok, Result
 from tornado.iostream import IOStream
 
-from cornelspan_agent.admission import LEAST_RETRY_AFTER, Admission
-from cornelspan_agent.backend import AnswerSink
-from cornelspan_agent.claims import Claims
-from cornelspan_agent.dispatch import Dispatch, Peers
-from cornelspan_agent.electorate import Electorate
-from cornelspan_agent.endpoint import SERVER_ERROR, endpoint_of
-from cornelspan_agent.exchange import (
-    Answer,
-    Incoming,
-    Request,
-    end_to_end,
-    serve_requests,
-)
-from cornelspan_agent.handoff import Handoffs
-from cornelspan_agent.keyed import KeptSink, is_guarded, serve_keyed
-from cornelspan_agent.objectives import ObjectiveCounts
-from cornelspan_agent.outcomes import (
-    CALLERS_OWN,
-    DEADLINE_HEADER,
-    KEY_HEADER,
-    PRIORITY_HEADER,
-    Outcome,
-    Reason,
-    Refusal,
-)
-from cornelspan_agent.placement import OwnLoad
-from cornelspan_agent.slowstart import SlowStart
 from cornelspan_common.metrics import Metrics
 from cornelspan_common.ownership import Load
 from cornelspan_common.packets import Message
@@ -57,6 +30,33 @@
 from cornelspan_control.configuration import Configuration
 from cornelspan_control.members import Members
 from cornelspan_control.profiles import Profile
+from cornelspan_ownership.placement import OwnLoad
+from cornelspan_requests.admission import LEAST_RETRY_AFTER, Admission
+from cornelspan_requests.backend import AnswerSink
+from cornelspan_requests.claims import Claims
+from cornelspan_requests.dispatch import Dispatch, Peers
+from cornelspan_requests.electorate import Electorate
+from cornelspan_requests.endpoint import SERVER_ERROR, endpoint_of
+from cornelspan_requests.exchange import (
+    Answer,
+    Incoming,
+    Request,
+    end_to_end,
+    serve_requests,
+)
+from cornelspan_requests.handoff import Handoffs
+from cornelspan_requests.keyed import KeptSink, is_guarded, serve_keyed
+from cornelspan_requests.objectives import ObjectiveCounts
+from cornelspan_requests.outcomes import (
+    CALLERS_OWN,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    PRIORITY_HEADER,
+    Outcome,
+    Reason,
+    Refusal,
+)
+from cornelspan_requests.slowstart import SlowStart
 
 __all__ = ["Gateway", "Peers", "gateway"]
 
--- a/packages/cornelspan-agent/src/cornelspan_agent/handoff.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/handoff.py
@@ -14,9 +14,6 @@
 
 from result import Err, Ok, Result
 
-from cornelspan_agent.backend import AnswerSink
-from cornelspan_agent.exchange import Request
-from cornelspan_agent.outcomes import AnswerHead, Outcome, Reason, Refusal
 from cornelspan_common.packets import Message
 from cornelspan_common.requests import (
     AnswerFailed,
@@ -28,6 +25,9 @@
     RequestStart,
 )
 from cornelspan_common.tasks import Tasks
+from cornelspan_requests.backend import AnswerSink
+from cornelspan_requests.exchange import Request
+from cornelspan_requests.outcomes import AnswerHead, Outcome, Reason, Refusal
 
 PART_BYTES = 65536
 WINDOW_BYTES = 262144
--- a/packages/cornelspan-agent/src/cornelspan_agent/keyed.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/keyed.py
@@ -6,20 +6,20 @@
 
 from result import Err, Ok, Result
 
-from cornelspan_agent.admission import LEAST_RETRY_AFTER
-from cornelspan_agent.claims import Claims, Granted, Known, NoQuorum
-from cornelspan_agent.exchange import Answer, Request
-from cornelspan_agent.keys import KeyState, fingerprint_of, key_digest
-from cornelspan_agent.outcomes import (
+from cornelspan_common.requests import KeptAnswer, KeyRecord
+from cornelspan_common.tasks import Tasks
+from cornelspan_requests.admission import LEAST_RETRY_AFTER
+from cornelspan_requests.claims import Claims, Granted, Known, NoQuorum
+from cornelspan_requests.exchange import Answer, Request
+from cornelspan_requests.keys import KeyState, fingerprint_of, key_digest
+from cornelspan_requests.outcomes import (
     REPLAYED_HEADER,
     AnswerHead,
     Outcome,
     Reason,
     Refusal,
 )
-from cornelspan_agent.retries import IDEMPOTENT_METHODS
-from cornelspan_common.requests import KeptAnswer, KeyRecord
-from cornelspan_common.tasks import Tasks
+from cornelspan_requests.retries import IDEMPOTENT_METHODS
 
 KEPT_BYTES = 16384
 LONGEST_KEY = 255
--- a/packages/cornelspan-agent/src/cornelspan_agent/reporting.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/reporting.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 
-from cornelspan_agent.objectives import ObjectiveCounts
 from cornelspan_common.settings import AgentSettings
 from cornelspan_control.plane import Plane
+from cornelspan_requests.objectives import ObjectiveCounts
 
 REPORT_SECONDS = 15.0
 
--- a/packages/cornelspan-agent/src/cornelspan_agent/retries.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/retries.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cornelspan_agent.outcomes import Outcome, Refusal
 from cornelspan_control.profiles import RetryPolicy
+from cornelspan_requests.outcomes import Outcome, Refusal
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 BUDGET_SECONDS = 10.0
--- a/packages/cornelspan-standins/src/cornelspan_standins/_placement_policies.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/_placement_policies.py
@@ -3,7 +3,11 @@
 from collections import deque
 from collections.abc import Callable
 
-from cornelspan_agent.placement import (
+from cornelspan_common.control import Announce
+from cornelspan_common.ownership import Load
+from cornelspan_control.members import Members
+from cornelspan_control.ranking import Ranking
+from cornelspan_ownership.placement import (
     HANDOFF_TRIES,
     LOAD_SECONDS,
     Loads,
@@ -14,10 +18,6 @@
     takes,
     tells_at_once,
 )
-from cornelspan_common.control import Announce
-from cornelspan_common.ownership import Load
-from cornelspan_control.members import Members
-from cornelspan_control.ranking import Ranking
 from cornelspan_standins._placement_run import (
     NETWORK_SECONDS,
     SLOTS,
--- a/packages/cornelspan-standins/src/cornelspan_standins/_requests_run.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/_requests_run.py
@@ -11,13 +11,13 @@
 
 import numpy as np
 
-from cornelspan_agent.admission import Admission
-from cornelspan_agent.dispatch import HERE, MOST_MOVES, best_place, urgent_view
-from cornelspan_agent.endpoint import RECONSIDER_SECONDS, has_idle_peer
-from cornelspan_agent.outcomes import Reason, Refusal
-from cornelspan_agent.placement import LOAD_SECONDS, Loads, OwnLoad, load_message
-from cornelspan_agent.queue import Ticket
 from cornelspan_control.profiles import RequestPolicy
+from cornelspan_ownership.placement import LOAD_SECONDS, Loads, OwnLoad, load_message
+from cornelspan_requests.admission import Admission
+from cornelspan_requests.dispatch import HERE, MOST_MOVES, best_place, urgent_view
+from cornelspan_requests.endpoint import RECONSIDER_SECONDS, has_idle_peer
+from cornelspan_requests.outcomes import Reason, Refusal
+from cornelspan_requests.queue import Ticket
 
 MEAN_SECONDS = 0.05
 SLOTS = 2
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -10,8 +10,6 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 
-from cornelspan_agent.gateway import Peers, gateway
-from cornelspan_agent.placement import OwnLoad
 from cornelspan_common.control import Announce
 from cornelspan_common.messages import AnyMessage
 from cornelspan_common.ownership import Load
@@ -23,6 +21,8 @@
 from cornelspan_control.configuration import Configuration, Snapshot
 from cornelspan_control.members import Members
 from cornelspan_control.profiles import Profile, Service
+from cornelspan_ownership.placement import OwnLoad
+from cornelspan_requests.gateway import Peers, gateway
 
 HOST = "127.0.0.1"
 WARM = Profile(name="orders", priority=0, slow_start_seconds=0)
--- a/tests/ownership_agents.py
+++ b/tests/ownership_agents.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from cornelspan_agent.directory import Directory, Holder
-from cornelspan_agent.ownership import Ownership
-from cornelspan_agent.placement import OwnLoad, load_message
-from cornelspan_agent.promises import peer_gone
+from cornelspan_ownership.directory import Directory, Holder
+from cornelspan_ownership.ownership import Ownership
+from cornelspan_ownership.placement import OwnLoad, load_message
+from cornelspan_ownership.promises import peer_gone
 
 SERVICE = "order-hub"
 
--- a/tests/ownership_model.py
+++ b/tests/ownership_model.py
@@ -11,12 +11,12 @@
 import msgspec
 from result import Err, Ok
 
-from cornelspan_agent.group import AskError
-from cornelspan_agent.ownership import OPEN_HOPS
-from cornelspan_agent.promises import answer_claim, answer_handoff
 from cornelspan_common.hashing import name_seed, rank, score
 from cornelspan_common.ownership import Claim
 from cornelspan_common.packets import Kind, Packet
+from cornelspan_ownership.group import AskError
+from cornelspan_ownership.ownership import OPEN_HOPS
+from cornelspan_ownership.promises import answer_claim, answer_handoff
 from ownership_agents import Agent
 
 ADDRESS = "127.0.0.1:80"
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,10 +2,10 @@
 
 from hypothesis import given, strategies as st
 
-from cornelspan_agent.admission import QUEUE_BYTES, Admission
-from cornelspan_agent.outcomes import Outcome, Reason
-from cornelspan_agent.queue import Ticket
 from cornelspan_control.profiles import RequestPolicy
+from cornelspan_requests.admission import QUEUE_BYTES, Admission
+from cornelspan_requests.outcomes import Outcome, Reason
+from cornelspan_requests.queue import Ticket
 
 POLICY = RequestPolicy(queue=4, caller_share=0.5)
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -13,15 +13,15 @@
 import pytest
 from result import Err, Ok
 
-from cornelspan_agent import claims as claims_module, electorate as electorate_module
-from cornelspan_agent.claims import Claims
-from cornelspan_agent.electorate import Electorate
-from cornelspan_agent.exchange import Request
-from cornelspan_agent.keyed import serve_keyed
-from cornelspan_agent.outcomes import AnswerHead, Outcome, Reason, Refusal
 from cornelspan_common.control import Announce
 from cornelspan_common.tasks import Tasks
 from cornelspan_control.members import Members
+from cornelspan_requests import claims as claims_module, electorate as electorate_module
+from cornelspan_requests.claims import Claims
+from cornelspan_requests.electorate import Electorate
+from cornelspan_requests.exchange import Request
+from cornelspan_requests.keyed import serve_keyed
+from cornelspan_requests.outcomes import AnswerHead, Outcome, Reason, Refusal
 from virtual_time import run_virtually
 
 WINDOW = 60.0
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from cornelspan_agent.objectives import ObjectiveCounts
 from cornelspan_control.burn import (
     DAY_MINUTES,
     FAST,
@@ -18,6 +17,7 @@
     totals_over,
 )
 from cornelspan_control.profiles import Objective
+from cornelspan_requests.objectives import ObjectiveCounts
 
 NOW = 29_000_000
 OBJECTIVE = Objective(good_share=0.99, latency_seconds=0.5, window_days=28)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,6 +1,6 @@
 """The directory of flows: what ends an entry."""
 
-from cornelspan_agent.directory import Directory, Holder, Records
+from cornelspan_ownership.directory import Directory, Holder, Records
 
 OWNER = Holder("agent-1", 5)
 
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -3,11 +3,11 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from cornelspan_agent.ejection import Judgement, Standing, has_room, must_return
-from cornelspan_agent.outcomes import Outcome, Reason, Refusal
-from cornelspan_agent.retries import RetryBudget, is_repeatable, pause_before
-from cornelspan_agent.slowstart import SlowStart
 from cornelspan_control.profiles import EjectionPolicy, RetryPolicy
+from cornelspan_requests.ejection import Judgement, Standing, has_room, must_return
+from cornelspan_requests.outcomes import Outcome, Reason, Refusal
+from cornelspan_requests.retries import RetryBudget, is_repeatable, pause_before
+from cornelspan_requests.slowstart import SlowStart
 
 POLICY = EjectionPolicy(failures=3, seconds=10.0, share_limit=0.34)
 
--- a/tests/test_electorate.py
+++ b/tests/test_electorate.py
@@ -2,8 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from cornelspan_agent.electorate import Electorate, majority, reading_quorum
 from cornelspan_common.control import Announce
+from cornelspan_requests.electorate import Electorate, majority, reading_quorum
 
 NAMES = ("hub-1", "hub-2", "hub-3", "hub-4", "hub-5")
 
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from cornelspan_agent import flows as flows_module
-from cornelspan_agent.flows import Flows
 from cornelspan_common.packets import Kind, Packet
 from cornelspan_common.tasks import task_group
+from cornelspan_ownership import flows as flows_module
+from cornelspan_ownership.flows import Flows
 
 
 @pytest.fixture
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -5,7 +5,7 @@
 import pytest
 from tornado.iostream import StreamClosedError
 
-from cornelspan_agent import claims, electorate
+from cornelspan_requests import claims, electorate
 from http_fakes import Caller, fake_server, running_group
 
 
--- a/tests/test_levels_path.py
+++ b/tests/test_levels_path.py
@@ -3,11 +3,11 @@
 import asyncio
 import dataclasses
 
-from cornelspan_agent import objectives, reporting
 from cornelspan_balancer import service_levels
 from cornelspan_common.settings import StoreSettings
 from cornelspan_control import summaries
 from cornelspan_control.store import StoreClient
+from cornelspan_requests import objectives, reporting
 from cornelspan_standins.callers import LoadSettings, Target, run_callers
 from cornelspan_standins.deployment import (
     SHIRAKABA,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from cornelspan_agent import promises
-from cornelspan_agent.directory import Holder
-from cornelspan_agent.group import Refused, Wait
-from cornelspan_agent.ownership import Ownership
 from cornelspan_common.hashing import name_seed, rank
 from cornelspan_common.ownership import Claim, Handoff
 from cornelspan_common.packets import Kind, Packet
+from cornelspan_ownership import promises
+from cornelspan_ownership.directory import Holder
+from cornelspan_ownership.group import Refused, Wait
+from cornelspan_ownership.ownership import Ownership
 from ownership_model import Agent, World
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,7 +1,7 @@
 """Choice of a flow's owner by load."""
 
-from cornelspan_agent.placement import Loads, OwnLoad, busy_limit, choose, takes
 from cornelspan_common.ownership import Load
+from cornelspan_ownership.placement import Loads, OwnLoad, busy_limit, choose, takes
 
 FULL = OwnLoad(slots=2, running=2)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,9 +6,6 @@
 import msgspec
 import pytest
 
-from cornelspan_agent.directory import Holder
-from cornelspan_agent.flows import Flows
-from cornelspan_agent.router import Router
 from cornelspan_common.control import Announce
 from cornelspan_common.ownership import Handoff, Owner
 from cornelspan_common.packets import Hint, Kind, Packet, Routed
@@ -16,6 +13,9 @@
 from cornelspan_common.tasks import task_group
 from cornelspan_control.configuration import Configuration
 from cornelspan_control.members import Members
+from cornelspan_ownership.directory import Holder
+from cornelspan_ownership.flows import Flows
+from cornelspan_ownership.router import Router
 
 ADDRESS = "127.0.0.1:80"
 OTHER = "127.0.0.1:81"
