Tell repeats from requests by their sequence numbers

Cause: the last change took a bare acknowledgement for proof that nothing runs.

Change: the agent remembers up to which sequence number the endpoint got data; a repeat is no request. Only on a flow that opened before the agent's start, where it remembers nothing, a bare acknowledgement still ends the count, until the first answer.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -251,6 +251,7 @@
         origin, _ = self.asked.pop(head.flow, ("", 0.0))
         owned = self.flows.start(head.flow, origin, NO_HOMES, now)
         owned.answered = True
+        owned.is_learned = True
         if origin:
             self.tell_owner(head.flow, origin)
         return owned
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
@@ -4,7 +4,7 @@
 
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough import hops
-from cornelspan_passthrough.flows import NO_REQUEST, OwnedFlow
+from cornelspan_passthrough.flows import NO_REQUEST, OwnedFlow, is_repeat
 from cornelspan_passthrough.heads import RST, Head, address_text, flow_text
 from cornelspan_passthrough.pulses import DOWN
 from cornelspan_passthrough.waiting import Held
@@ -43,7 +43,7 @@
     agent: "Agent", head: Head, owned: OwnedFlow, packet: bytes, now: float
 ) -> None:
     """Hand a packet of a flow to the endpoint, or hold its request for room."""
-    if head.length and owned.request_at == NO_REQUEST:
+    if _begins_request(owned, head):
         if agent.waiting.holds(head.flow):
             agent.waiting.add(head.flow, packet, head.sequence)
             return
@@ -67,10 +67,17 @@
     elif head.flags & RST:
         agent.flows.end_request(head.flow, owned)
         agent.waiting.remove(head.flow)
-    agent.flows.sent(head.flow, owned, head.acknowledged, head.length, now)
+    agent.flows.sent(head.flow, owned, head, now)
     agent.to_endpoint(packet, hops.DELIVER)
 
 
+def _begins_request(owned: OwnedFlow, head: Head) -> bool:
+    """Whether a packet is the first of a request."""
+    if not head.length or owned.request_at != NO_REQUEST:
+        return False
+    return not is_repeat(owned, head.sequence, head.length)
+
+
 def room(agent: "Agent") -> int:
     """How many requests may be at the endpoint at once."""
     return agent.endpoint.capacity + QUEUED_REQUESTS
@@ -99,7 +106,7 @@
         for packet in held.packets.values():
             head = agent.codec.read_client(packet)
             if head is not None:
-                agent.flows.sent(head.flow, owned, head.acknowledged, head.length, now)
+                agent.flows.sent(head.flow, owned, head, now)
                 agent.to_endpoint(packet, hops.DELIVER)
 
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from cornelspan_passthrough.heads import Head
 from cornelspan_passthrough.histograms import Histogram
 
 NO_REQUEST = 0.0
@@ -16,6 +17,10 @@
 # unrun five seconds later. Should it still run, the endpoint's own queue has room.
 LOST_REQUEST_PACES = 8.0
 LOST_REQUEST_SECONDS = 0.4
+# Sequence numbers have 32 bits and begin anywhere; what is less than half of them ahead
+# is ahead.
+SEQUENCE_MASK = 0xFFFFFFFF
+AHEAD = range(1, 1 << 31)
 # The share of a new measure in the endpoint's pace.
 PACE_SHARE = 0.1
 # Late packets of a flow that has ended still go to the endpoint, which answers them.
@@ -34,7 +39,10 @@
     flow opened. ``opened`` says that the endpoint surely holds it, as it has
     sent more than its answer to the first packet. ``acknowledged`` is what the client
     has acknowledged last. ``request_at`` is when a request began, ``NO_REQUEST`` for
-    none. Times are of the loop's clock, in seconds.
+    none. ``is_learned`` says that the flow opened before this process started, and that
+    the endpoint has not answered a request since. ``sent_up_to`` is the sequence number
+    up to which the endpoint got data, None before the first. Times are of the loop's
+    clock, in seconds.
     """
 
     origin: str
@@ -48,6 +56,19 @@
     ended: bool = False
     acknowledged: int = 0
     request_at: float = NO_REQUEST
+    is_learned: bool = False
+    sent_up_to: int | None = None
+
+
+def is_repeat(owned: OwnedFlow, sequence: int, length: int) -> bool:
+    """Whether the endpoint has been handed all data of a packet before.
+
+    A client that lost an answer repeats its request. The endpoint only sends its answer
+    again, so the repeat is no work and need not wait.
+    """
+    if owned.sent_up_to is None:
+        return False
+    return (sequence + length - owned.sent_up_to) & SEQUENCE_MASK not in AHEAD
 
 
 @dataclass
@@ -94,37 +115,41 @@
         """Return how many flows began after a time, as far as kept."""
         return sum(1 for at in self.starts if at > then)
 
-    def sent(
-        self, flow: int, owned: OwnedFlow, acknowledged: int, length: int, now: float
-    ) -> None:
-        """Note a packet on its way to the endpoint; data begins a request."""
+    def sent(self, flow: int, owned: OwnedFlow, head: Head, now: float) -> None:
+        """Note a packet on its way to the endpoint; new data begins a request."""
         owned.used_at = now
-        owned.acknowledged = acknowledged
-        if length and owned.request_at == NO_REQUEST:
+        owned.acknowledged = head.acknowledged
+        if not head.length or is_repeat(owned, head.sequence, head.length):
+            return
+        owned.sent_up_to = (head.sequence + head.length) & SEQUENCE_MASK
+        if owned.request_at == NO_REQUEST:
             owned.request_at = now
             self.requests[flow] = now
 
     def answered(self, flow: int, owned: OwnedFlow, length: int, now: float) -> None:
-        """Note a packet of the endpoint after its first; data answers the request.
-
-        One that acknowledges part of a longer request makes this count one too few
-        for a while, which the endpoint's own queue takes up.
-        """
+        """Note a packet of the endpoint after its first; data answers the request."""
         owned.used_at = now
         if not owned.opened:
             owned.opened = True
             self.open_flows += 1
-        if length and owned.request_at != NO_REQUEST:
-            took = now - owned.request_at
-            self.end_request(flow, owned)
-            self.answer_times.observe(took)
-            self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
-        elif not length:
-            # A bare acknowledgement: the endpoint has had this request before. Its
-            # answer was lost with a process of the system, and it sends that again by
-            # its own clock, up to 1.6 s later. Nothing runs, so no slot is filled.
+        if length:
+            owned.is_learned = False
+            self._end_answered(flow, owned, now)
+        elif owned.is_learned:
+            # An acknowledgement without data, on a flow that opened before this process
+            # started: the endpoint has had the request before. Its answer was lost with
+            # that process, and it sends that again by its own clock, up to 1.6 s later.
+            # Nothing runs, so no slot is filled.
             self.end_request(flow, owned)
 
+    def _end_answered(self, flow: int, owned: OwnedFlow, now: float) -> None:
+        if owned.request_at == NO_REQUEST:
+            return
+        took = now - owned.request_at
+        self.end_request(flow, owned)
+        self.answer_times.observe(took)
+        self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
+
     def end(self, flow: int, owned: OwnedFlow) -> None:
         """Note that one of its ends has closed a flow."""
         self.end_request(flow, owned)
--- a/tests/test_passthrough_placing.py
+++ b/tests/test_passthrough_placing.py
@@ -3,6 +3,7 @@
 import random
 
 from cornelspan_passthrough.flows import FlowTable
+from cornelspan_passthrough.heads import ACK, Head
 from cornelspan_passthrough.placing import Candidate, choose
 from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Pong, Pulse
 from cornelspan_standins.packet_world import PacketWorld
@@ -132,7 +133,7 @@
     table = FlowTable(flow_seconds=60.0)
     for number in range(3):
         owned = table.start(number, "", (0, 0), 0.0)
-        table.sent(number, owned, 0, 10, 0.0)
+        table.sent(number, owned, Head(number, ACK, 100, 0, 10), 0.0)
         table.answered(number, owned, 10, 0.1)
     assert table.open_flows == 3
     table.end(0, table.get(0))
--- a/tests/test_passthrough_waiting.py
+++ b/tests/test_passthrough_waiting.py
@@ -1,6 +1,7 @@
 """The line of requests before a full endpoint."""
 
 from cornelspan_passthrough.flows import FlowTable
+from cornelspan_passthrough.heads import ACK, Head
 from cornelspan_passthrough.waiting import LIMIT, Held, WaitingLine
 from cornelspan_standins.packet_world import PacketWorld
 
@@ -111,6 +112,10 @@
     assert world.agents[AGENT].flows.running == 0
 
 
+def packet(sequence, length=10):
+    return Head(1, ACK, sequence, 0, length)
+
+
 def test_a_request_that_the_endpoint_has_had_before_fills_no_slot():
     """Callers after a restart of all daemons don't wait behind requests that have run.
 
@@ -119,8 +124,36 @@
     """
     table = FlowTable(flow_seconds=60.0)
     owned = table.start(1, "", (0, 0), 0.0)
-    table.sent(1, owned, 0, 10, 1.0)
+    owned.is_learned = True
+    table.sent(1, owned, packet(100), 1.0)
     assert table.running == 1
     table.answered(1, owned, 0, 1.001)
     assert table.running == 0
     assert table.pace_seconds == 0.0
+
+
+def test_an_acknowledged_request_still_runs():
+    """Orders keep their place before what is less urgent.
+
+    Ends acknowledge every second packet, so each second request of a flow is
+    acknowledged before it is answered. Taken for done, it let more go to the endpoint
+    than it has slots for, and the rest was shed.
+    """
+    table = FlowTable(flow_seconds=60.0)
+    owned = table.start(1, "", (0, 0), 0.0)
+    table.sent(1, owned, packet(100), 1.0)
+    table.answered(1, owned, 0, 1.001)
+    assert table.running == 1
+    table.answered(1, owned, 50, 1.04)
+    assert table.running == 0
+
+
+def test_a_repeat_of_an_answered_request_is_no_work():
+    table = FlowTable(flow_seconds=60.0)
+    owned = table.start(1, "", (0, 0), 0.0)
+    table.sent(1, owned, packet(0xFFFFFFFA), 1.0)
+    table.answered(1, owned, 50, 1.04)
+    table.sent(1, owned, packet(0xFFFFFFFA), 1.2)
+    assert table.running == 0
+    table.sent(1, owned, packet(4), 1.3)
+    assert table.running == 1
