Doubt the first request of a flow that was open before the agent's start

Cause: an endpoint may send a lost answer again just before its client's repeat comes.

Change: the doubt ends with the first answer to a request that this process saw.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -36,13 +36,13 @@
 
     ``origin`` is the balancer that its first packet came over and ``homes`` the agents
     that record the owner. ``priority`` and ``budget_seconds`` are the route's when the
-    flow opened. ``opened`` says that the endpoint surely holds it, as it has
-    sent more than its answer to the first packet. ``acknowledged`` is what the client
-    has acknowledged last. ``request_at`` is when a request began, ``NO_REQUEST`` for
-    none. ``is_learned`` says that the flow opened before this process started, and that
-    the endpoint has not answered a request since. ``sent_up_to`` is the sequence number
-    up to which the endpoint got data, None before the first. Times are of the loop's
-    clock, in seconds.
+    flow opened. ``opened`` says that the endpoint surely holds it, as it has sent more
+    than its answer to the first packet. ``acknowledged`` is what the client has
+    acknowledged last. ``request_at`` is when a request began, ``NO_REQUEST`` for none.
+    ``is_learned`` says that the flow opened before this process started, and that no
+    request that this process saw has been answered yet. ``sent_up_to`` is the sequence
+    number up to which the endpoint got data, None before the first. Times are of the
+    loop's clock, in seconds.
     """
 
     origin: str
@@ -133,7 +133,6 @@
             owned.opened = True
             self.open_flows += 1
         if length:
-            owned.is_learned = False
             self._end_answered(flow, owned, now)
         elif owned.is_learned:
             # An acknowledgement without data, on a flow that opened before this process
@@ -146,6 +145,7 @@
         if owned.request_at == NO_REQUEST:
             return
         took = now - owned.request_at
+        owned.is_learned = False
         self.end_request(flow, owned)
         self.answer_times.observe(took)
         self.pace_seconds += PACE_SHARE * (took - self.pace_seconds)
--- a/tests/test_passthrough_waiting.py
+++ b/tests/test_passthrough_waiting.py
@@ -157,3 +157,18 @@
     assert table.running == 0
     table.sent(1, owned, packet(4), 1.3)
     assert table.running == 1
+
+
+def test_an_answer_that_comes_before_the_repeat_of_its_request():
+    """Callers after a restart don't wait behind a request that was answered already.
+
+    The endpoint sends a lost answer again just before its client's repeat comes, which
+    it then only acknowledges.
+    """
+    table = FlowTable(flow_seconds=60.0)
+    owned = table.start(1, "", (0, 0), 0.0)
+    owned.is_learned = True
+    table.answered(1, owned, 50, 0.9)
+    table.sent(1, owned, packet(100), 1.0)
+    table.answered(1, owned, 0, 1.001)
+    assert table.running == 0
