--- a/packages/cornelspan-standins/src/cornelspan_standins/servers.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/servers.py
@@ -11,7 +11,7 @@
 import asyncio
 import math
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -212,11 +212,16 @@
         """
         server = self.server
         deadline = server.loop.time() + self._limit_seconds()
-        try:
-            async with asyncio.timeout_at(deadline), server.slot():
-                return await self._run_in_slot(request_id, deadline)
-        except TimeoutError:
-            return None
+        async with AsyncExitStack() as held:
+            # The time-out covers the wait alone. Around the run as well, it could fire
+            # in the last millisecond of a run, when the loop is late, and a request
+            # that had begun was answered as not run.
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await held.enter_async_context(server.slot())
+            except TimeoutError:
+                return None
+            return await self._run_in_slot(request_id, deadline)
 
     async def _run_in_slot(self, request_id: str, deadline: float) -> Ended:
         server = self.server
