Split the tests of pass-through flows by subject

Change: open flows, first packets, dead flows and members have a file each; the deployment they share is in passthrough_world.py. No test and no assertion changed.

--- /dev/null
+++ b/tests/test_passthrough_first_packets.py
@@ -0,0 +1,79 @@
+"""Where first packets go, when they wait, and when they are refused."""
+
+import pytest
+
+from passthrough_world import BALANCERS, ORDERS, RECEIPTS, small_world
+
+
+@pytest.fixture
+def world():
+    return small_world()
+
+
+def test_a_flow_without_a_route_is_refused_at_once(world):
+    client = world.open_flow(over=BALANCERS[0], route_port=999)
+    world.run(0.05)
+    assert client.events == ["refused"]
+
+
+def test_an_endpoint_that_drains_takes_no_new_flow(world):
+    """The caller's new flows open at once, at endpoints that stay.
+
+    Two endpoints say that they leave. Balancers may hear of it late; the agents
+    themselves hand first packets back from that moment.
+    """
+    for address in ORDERS[:2]:
+        world.endpoints[address].accepts = False
+    world.run(0.9)
+    before = {address: world.endpoints[address].opened for address in ORDERS}
+    clients = [world.open_flow(over=BALANCERS[0]) for _ in range(10)]
+    world.run(0.3)
+    assert all(client.events == ["open", "answer"] for client in clients)
+    assert world.endpoints[ORDERS[2]].opened == before[ORDERS[2]] + 10
+
+
+def test_an_address_that_another_service_took_over_refuses_the_old_one(world):
+    """The caller's order never reaches the receipts' endpoint.
+
+    An orders' VM is gone and its address belongs to a receipts' VM. The balancer has
+    the old listing; the agent refuses by the tag of the service.
+    """
+    address = ORDERS[0]
+    world.members[address] = world.members[RECEIPTS[0]]
+    world.start_agent(address)
+    world.endpoints[address].service = "receipts"
+    clients = [world.open_flow(over=BALANCERS[0]) for _ in range(10)]
+    world.run(0.3)
+    assert all(client.events == ["open", "answer"] for client in clients)
+    assert world.endpoints[address].opened == 0
+
+
+def test_a_first_packet_waits_for_an_agent_that_comes_up(world):
+    """The caller's flow opens before its own repeat after 200 ms.
+
+    All VMs have lost power, and the balancer is up first. A first packet sent to a VM
+    whose agent is not there yet would be lost, so it waits for the first answer.
+    """
+    for address in (*ORDERS, *RECEIPTS):
+        world.remove(address)
+    for address in BALANCERS:
+        world.add_balancer(address)
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.05)
+    for address in ORDERS:
+        world.start_agent(address)
+    world.run(0.1)
+    assert client.events[:1] == ["open"]
+
+
+def test_a_first_packet_that_no_agent_takes_is_refused(world):
+    """The caller is told after a second, in time for a try of its own.
+
+    All agents are gone for good and the balancer has just started.
+    """
+    for address in (*ORDERS, *RECEIPTS):
+        world.remove(address)
+    world.add_balancer(BALANCERS[0])
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(1.2)
+    assert client.events == ["refused"]
