Fold together what the pass-through daemons had written again

Cause, from a reading of the whole change: the agent's directory of owners repeated the records of cornelspan_ownership; both daemons opened sockets and greeted their seeds by the same lines, with a list as a late reference; the stand-in store had a token bucket of its own. The agent's greeting ran in a task that nobody watched, so its failure would have been lost. Fields of ping and pong (number, revision, pace) had no reader.

Change: Expiring in cornelspan_common is the one such map, Records builds on it; a socket has its receiver as an attribute; greeting.py serves both daemons, in their task groups; the stand-in store uses TokenBucket. No decision changed; in two tests and the ownership model attributes have new names, no assertion changed.

--- a/packages/cornelspan-ownership/src/cornelspan_ownership/directory.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/directory.py
@@ -5,10 +5,10 @@
 directory.owners.get(flow, now)
 """
 
-from collections import OrderedDict
 from dataclasses import dataclass
 
-LIMIT = 100_000
+from cornelspan_common.expiring import LIMIT, Expiring
+
 ENDED_SECONDS = 15.0
 
 
@@ -20,53 +20,8 @@
     incarnation: int
 
 
-@dataclass(slots=True)
-class Entry:
-    """A holder and when the entry was last used, in seconds of the loop's clock."""
-
-    holder: Holder
-    used_at: float
-
-
-class Records:
-    """Flow to holder; bounded, and forgotten after a time without use.
-
-    The dictionary keeps the order of use, so both bounds look at its first entries
-    only.
-    """
-
-    def __init__(self, *, idle_seconds: float, limit: int = LIMIT) -> None:
-        self.idle_seconds = idle_seconds
-        self.limit = limit
-        self.entries: OrderedDict[int, Entry] = OrderedDict()
-        self.evicted = 0
-
-    def __len__(self) -> int:
-        return len(self.entries)
-
-    def get(self, flow: int, now: float) -> Holder | None:
-        """Return a flow's holder and note the use; None if none is recorded."""
-        entry = self.entries.get(flow)
-        if entry is None:
-            return None
-        if now - entry.used_at > self.idle_seconds:
-            del self.entries[flow]
-            return None
-        entry.used_at = now
-        self.entries.move_to_end(flow)
-        return entry.holder
-
-    def put(self, flow: int, holder: Holder, now: float) -> None:
-        """Record a flow's holder in place of any other."""
-        self.entries[flow] = Entry(holder, now)
-        self.entries.move_to_end(flow)
-        while len(self.entries) > self.limit:
-            self.entries.popitem(last=False)
-            self.evicted += 1
-
-    def drop(self, flow: int) -> None:
-        """Forget a flow."""
-        self.entries.pop(flow, None)
+class Records(Expiring[Holder]):
+    """Flow to its holder, one life of an agent."""
 
     def drop_holder(self, name: str, before: int) -> list[int]:
         """Forget all flows of the lives of an agent up to an incarnation.
@@ -77,23 +32,12 @@
         flows = [
             flow
             for flow, entry in self.entries.items()
-            if entry.holder.name == name and entry.holder.incarnation <= before
+            if entry.value.name == name and entry.value.incarnation <= before
         ]
         for flow in flows:
             del self.entries[flow]
         return flows
 
-    def expire(self, now: float) -> int:
-        """Forget what was not used for the idle time; return how many they were."""
-        count = 0
-        while self.entries:
-            flow, entry = next(iter(self.entries.items()))
-            if now - entry.used_at <= self.idle_seconds:
-                break
-            del self.entries[flow]
-            count += 1
-        return count
-
 
 class Directory:
     """Owners and homes of flows, and the flows that have ended of late.
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cornelspan_common.expiring import Expiring
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.datagrams import DatagramSocket
@@ -22,11 +23,7 @@
     say_not_here,
 )
 from cornelspan_passthrough.endpoint import Endpoint, Report
-from cornelspan_passthrough.flows import (
-    Directory,
-    FlowTable,
-    OwnedFlow,
-)
+from cornelspan_passthrough.flows import FlowTable, OwnedFlow
 from cornelspan_passthrough.heads import (
     BOUNCED,
     FIN,
@@ -50,8 +47,6 @@
 # Flows are recorded a quarter longer than they may be open, so that no record ends
 # before its flow does.
 RECORD_MARGIN = 1.25
-# Number of a pong that answers no ping.
-UNASKED = 0
 # Work for this many times its slots is what an endpoint may have before new flows are
 # sent on: a second round beside the one that runs.
 BUSY_FACTOR = 2
@@ -86,7 +81,7 @@
         settings = self.settings
         kept = settings.flow_seconds * RECORD_MARGIN
         self.flows = FlowTable(kept)
-        self.directory = Directory(kept)
+        self.directory: Expiring[int] = Expiring(idle_seconds=kept)
         self.waiting = WaitingLine()
         self.waiting_times = Histogram()
         self.endpoint = Endpoint(
@@ -122,7 +117,7 @@
         elif kind == hops.RECORD:
             note = hops.decode_note(data)
             if note is not None:
-                self.directory.record(note.flow, note.agent, now)
+                self.directory.put(note.flow, note.agent, now)
         elif kind == hops.PING:
             self._ping(data, sender, now)
         else:
@@ -203,12 +198,11 @@
             self.unlisted_at = None
         elif self.unlisted_at is None:
             self.unlisted_at = now
-        self.send(sender, self._pong(ping.number, now))
+        self.send(sender, self._pong(now))
 
-    def _pong(self, number: int, now: float) -> bytes:
+    def _pong(self, now: float) -> bytes:
         endpoint = self.endpoint
         pong = Pong(
-            number,
             self.settings.address,
             self.settings.datacentre,
             self.settings.service,
@@ -217,7 +211,6 @@
             self.flows.running + len(self.waiting),
             self.flows.open_flows,
             endpoint.cold_milliseconds(now),
-            round(self.flows.pace_seconds * 1000),
         )
         return bytes((hops.PONG,)) + msgspec.msgpack.encode(pong)
 
@@ -323,7 +316,7 @@
         endpoint get no flow, and one that leaves get some that it hands back.
         """
         for balancer in self.balancers:
-            self.send(balancer, self._pong(UNASKED, now))
+            self.send(balancer, self._pong(now))
 
     def leave(self, life: str) -> None:
         """Take in that the endpoint has gone."""
@@ -358,7 +351,7 @@
     def sweep(self, now: float) -> None:
         """Forget what is too old."""
         self.flows.sweep(now)
-        self.directory.sweep(now)
+        self.directory.expire(now)
         for flow in list(self.asked):
             if now - self.asked[flow][1] <= ASKED_SECONDS:
                 return
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -233,10 +233,8 @@
         """Tell a daemon that this one lives, and ask it to answer."""
         self.pings += 1
         ping = Ping(
-            self.pings,
             self.settings.address,
-            max(self.routes.version, 0),
-            self.members.revision,
+            self.routes.version,
             address in self.members.listed or not self.members.revision,
         )
         self.send(address, bytes((hops.PING,)) + msgspec.msgpack.encode(ping))
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/datagrams.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/datagrams.py
@@ -20,13 +20,15 @@
 
 
 class DatagramSocket:
-    """A bound UDP socket. ``dropped`` counts what the kernel would not send.
+    """A bound UDP socket whose datagrams go to ``received``.
 
-    Nothing is kept for later: the ends of a flow repeat what was lost.
+    ``dropped`` counts what the kernel would not send. Nothing is kept for later: the
+    ends of a flow repeat what was lost.
     """
 
     def __init__(self, bound: socket.socket) -> None:
         self.socket = bound
+        self.received: Received = _unheard
         self.dropped = 0
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
@@ -36,33 +38,35 @@
         except OSError:
             self.dropped += 1
 
+    def read(self) -> None:
+        """Hand on what has arrived."""
+        for _ in range(READ_AT_ONCE):
+            try:
+                data, sender = self.socket.recvfrom(DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log.warning("socket error", extra={"reason": str(error)})
+                return
+            self.received(data, sender)
+
 
 @contextmanager
-def datagram_socket(
-    address: tuple[str, int], received: Received
-) -> Iterator[DatagramSocket]:
-    """Yield a socket whose datagrams go to a function until the context ends."""
+def datagram_socket(address: tuple[str, int]) -> Iterator[DatagramSocket]:
+    """Yield a socket that is read from until the context ends."""
     loop = asyncio.get_running_loop()
     bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
         bound.setblocking(False)
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         bound.bind(address)
-        loop.add_reader(bound.fileno(), _read, bound, received)
-        yield DatagramSocket(bound)
+        opened = DatagramSocket(bound)
+        loop.add_reader(bound.fileno(), opened.read)
+        yield opened
     finally:
         loop.remove_reader(bound.fileno())
         bound.close()
 
 
-def _read(bound: socket.socket, received: Received) -> None:
-    """Read what has arrived. A datagram that can't be handled ends nothing else."""
-    for _ in range(READ_AT_ONCE):
-        try:
-            data, sender = bound.recvfrom(DATAGRAM_BYTES)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            log.warning("socket error", extra={"reason": str(error)})
-            return
-        received(data, sender)
+def _unheard(data: bytes, sender: tuple[str, int]) -> None:
+    """Take a datagram that comes before there is anybody to hear it."""
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
@@ -120,7 +120,7 @@
         agent.tell_owner(head.flow, origin)
         deliver(agent, packet, hops.DELIVER, origin, now)
         return
-    owner = agent.directory.owner(head.flow)
+    owner = agent.directory.get(head.flow, now)
     if owner is None or owner == agent.own_address:
         agent.send(origin, hops.encode_note(hops.UNKNOWN, head.flow))
         return
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -48,7 +48,6 @@
     origin: str
     homes: tuple[int, int]
     used_at: float
-    started_at: float
     priority: int = UNKNOWN_PRIORITY
     budget_seconds: float = UNKNOWN_BUDGET_SECONDS
     answered: bool = False
@@ -106,7 +105,7 @@
         self.remove(flow)
         if len(self.by_flow) >= LIMIT:
             self.remove(next(iter(self.by_flow)))
-        owned = OwnedFlow(origin, homes, now, now)
+        owned = OwnedFlow(origin, homes, now)
         self.by_flow[flow] = owned
         self.starts.append(now)
         return owned
@@ -192,42 +191,3 @@
             kept = ENDED_SECONDS if owned.ended else self.flow_seconds
             if now - owned.used_at > kept:
                 self.remove(flow)
-
-
-@dataclass
-class Directory:
-    """Owners that an agent records as home of their flows.
-
-    An entry is of use for as long as its flow may be open. The dictionary keeps the
-    order of recording, so the sweep looks at its first entries only.
-    """
-
-    flow_seconds: float
-    by_flow: dict[int, tuple[int, float]] = field(default_factory=dict)
-
-    def __len__(self) -> int:
-        return len(self.by_flow)
-
-    def record(self, flow: int, owner: int, now: float) -> None:
-        """Record the owner of a flow."""
-        self.by_flow.pop(flow, None)
-        self.by_flow[flow] = (owner, now)
-        if len(self.by_flow) > LIMIT:
-            del self.by_flow[next(iter(self.by_flow))]
-
-    def owner(self, flow: int) -> int | None:
-        """Return the address of a flow's owner, None if none is recorded."""
-        entry = self.by_flow.get(flow)
-        return entry[0] if entry else None
-
-    def forget(self, flow: int, owner: int) -> None:
-        """Forget an owner that has turned out wrong."""
-        if self.owner(flow) == owner:
-            del self.by_flow[flow]
-
-    def sweep(self, now: float) -> None:
-        """Forget flows that are too old to be open."""
-        for flow in list(self.by_flow):
-            if now - self.by_flow[flow][1] <= self.flow_seconds:
-                return
-            del self.by_flow[flow]
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
@@ -9,8 +9,7 @@
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough.balancer import Balancer
 from cornelspan_passthrough.configuration import Configuration
-from cornelspan_passthrough.listing import list_member
-from cornelspan_passthrough.members import BALANCER, Member
+from cornelspan_passthrough.members import Member
 from cornelspan_passthrough.store import (
     Backoff,
     ConfigurationAt,
@@ -138,15 +137,6 @@
     log.info("members known", extra=extra)
 
 
-async def list_itself(
-    balancer: Balancer, store: PlatformStore, backoff: Backoff
-) -> None:
-    """List this balancer, so that agents' news and peers reach it."""
-    settings = balancer.settings
-    member = Member(settings.address, BALANCER, settings.datacentre)
-    await list_member(store, member, backoff)
-
-
 async def catch_up(balancer: Balancer, store: PlatformStore) -> None:
     """Fetch a configuration that a peer has and this balancer has not.
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
@@ -23,23 +23,19 @@
 class Ping(msgspec.Struct, frozen=True, array_like=True):
     """A balancer's question, with what other balancers want to know of it."""
 
-    number: int
     address: str
     version: int
-    revision: int
     listed: bool
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True):
-    """An agent's answer.
+    """An agent's answer, or its word unasked when its endpoint has changed.
 
     ``state`` is that of its endpoint, of this module. ``running`` counts requests that
     the endpoint works on or queues, ``flows`` open flows, ``capacity`` slots.
-    ``cold_milliseconds`` tells how much longer the endpoint is slow after its start,
-    ``pace_milliseconds`` how long its last requests took on average, 0 for unknown.
+    ``cold_milliseconds`` tells how much longer the endpoint is slow after its start.
     """
 
-    number: int
     address: str
     datacentre: str
     service: str
@@ -48,7 +44,6 @@
     running: int
     flows: int
     cold_milliseconds: int
-    pace_milliseconds: int
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -7,21 +7,20 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-import msgspec
-
 from cornelspan_common.logs import get_log
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.agent import Agent
 from cornelspan_passthrough.datagrams import datagram_socket
 from cornelspan_passthrough.delivering import release
 from cornelspan_passthrough.endpoint import Report
+from cornelspan_passthrough.greeting import greet
 from cornelspan_passthrough.heads import PacketCodec
-from cornelspan_passthrough.hops import GONE, HELLO
+from cornelspan_passthrough.hops import GONE
 from cornelspan_passthrough.http import JSON, NOT_FOUND, Answer, Call, http_server
 from cornelspan_passthrough.listing import list_member
 from cornelspan_passthrough.members import AGENT, Member
 from cornelspan_passthrough.metrics import agent_page
-from cornelspan_passthrough.pulses import DOWN, Hello
+from cornelspan_passthrough.pulses import DOWN
 from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
 from cornelspan_passthrough.store import Backoff, PlatformStore
 
@@ -103,7 +102,12 @@
                 )
             )
         async with task_group() as tasks:
-            tasks.start(_stay_listed(agent, store), name="listing")
+            member = _member(settings)
+            tasks.start(_stay_listed(agent, member, store), name="listing")
+            tasks.start(
+                greet(settings, member, agent.daemons, lambda: agent.pinged_at > 0),
+                name="greeting",
+            )
             tasks.start(_watch_endpoint(agent), name="endpoint")
             tasks.start(_sweep(agent), name="sweep")
             tasks.start(_release(agent), name="release")
@@ -118,25 +122,20 @@
 ) -> Agent:
     """Open an agent's sockets and return its state."""
     now = asyncio.get_running_loop().time
-    received: list[Agent] = []
-
-    def from_endpoint(data: bytes, sender: tuple[str, int]) -> None:
-        received[0].from_endpoint(data, now())
-
-    def from_daemon(data: bytes, sender: tuple[str, int]) -> None:
-        received[0].from_daemon(data, sender[0], now())
-
-    local = sockets.enter_context(
-        datagram_socket(socket_address(settings.outbound), from_endpoint)
-    )
+    local = sockets.enter_context(datagram_socket(socket_address(settings.outbound)))
     daemons = sockets.enter_context(
-        datagram_socket((settings.address, settings.internal_port), from_daemon)
+        datagram_socket((settings.address, settings.internal_port))
     )
     agent = Agent(settings, codec, local, daemons, now())
-    received.append(agent)
+    local.received = lambda data, sender: agent.from_endpoint(data, now())
+    daemons.received = lambda data, sender: agent.from_daemon(data, sender[0], now())
     return agent
 
 
+def _member(settings: PassthroughAgentSettings) -> Member:
+    return Member(settings.address, AGENT, settings.datacentre, settings.service)
+
+
 def _answer(agent: Agent, call: EndpointCall, now: float) -> Answer:
     match call:
         case Report():
@@ -152,28 +151,22 @@
             return NOT_FOUND
 
 
-async def _stay_listed(agent: Agent, store: PlatformStore) -> None:
+async def _stay_listed(agent: Agent, member: Member, store: PlatformStore) -> None:
     """List this agent, and again whenever its entry seems to be gone."""
-    settings = agent.settings
-    member = Member(settings.address, AGENT, settings.datacentre, settings.service)
     backoff = Backoff(random.Random())
-    greeting = asyncio.create_task(_greet(agent))
-    try:
+    await list_member(store, member, backoff)
+    patience = UNHEARD_SECONDS
+    while True:
+        await asyncio.sleep(LISTING_SECONDS)
+        if not _seems_unlisted(agent, patience):
+            continue
+        heard_at = agent.pinged_at
         await list_member(store, member, backoff)
-        patience = UNHEARD_SECONDS
-        while True:
-            await asyncio.sleep(LISTING_SECONDS)
-            if not _seems_unlisted(agent, patience):
-                continue
-            heard_at = agent.pinged_at
-            await list_member(store, member, backoff)
-            agent.unlisted_at = None
-            is_unheard = agent.pinged_at == heard_at
-            patience = min(LONGEST_UNHEARD_SECONDS, patience * 2)
-            patience = patience if is_unheard else UNHEARD_SECONDS
-            agent.pinged_at = asyncio.get_running_loop().time()
-    finally:
-        greeting.cancel()
+        agent.unlisted_at = None
+        is_unheard = agent.pinged_at == heard_at
+        patience = min(LONGEST_UNHEARD_SECONDS, patience * 2)
+        patience = patience if is_unheard else UNHEARD_SECONDS
+        agent.pinged_at = asyncio.get_running_loop().time()
 
 
 def _seems_unlisted(agent: Agent, patience: float) -> bool:
@@ -183,18 +176,6 @@
     return now - max(agent.pinged_at, agent.started_at) > patience
 
 
-async def _greet(agent: Agent) -> None:
-    """Speak up to the seeds until a balancer has been heard of."""
-    settings = agent.settings
-    hello = Hello(settings.address, AGENT, settings.datacentre, settings.service)
-    datagram = bytes((HELLO,)) + msgspec.msgpack.encode(hello)
-    while not agent.pinged_at:
-        for seed in settings.seeds:
-            address = socket_address(seed)[0]
-            agent.daemons.send(datagram, (address, settings.internal_port))
-        await asyncio.sleep(LISTING_SECONDS)
-
-
 async def _watch_endpoint(agent: Agent) -> None:
     """Look whether the endpoint is still there when its report is missing.
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -11,22 +11,21 @@
 from cornelspan_common.logs import get_log
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.balancer import Balancer
-from cornelspan_passthrough.datagrams import DatagramSocket, datagram_socket
+from cornelspan_passthrough.datagrams import datagram_socket
 from cornelspan_passthrough.following import (
     SNAPSHOT_PATH,
     Snapshot,
     catch_up,
     follow_configuration,
     follow_members,
-    list_itself,
     prune,
 )
+from cornelspan_passthrough.greeting import greet
 from cornelspan_passthrough.heads import PacketCodec
-from cornelspan_passthrough.hops import HELLO
 from cornelspan_passthrough.http import BINARY, NOT_FOUND, Answer, Call, http_server
-from cornelspan_passthrough.members import BALANCER
+from cornelspan_passthrough.listing import list_member
+from cornelspan_passthrough.members import BALANCER, Member
 from cornelspan_passthrough.metrics import balancer_page
-from cornelspan_passthrough.pulses import Hello
 from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
 from cornelspan_passthrough.store import (
     Backoff,
@@ -44,7 +43,6 @@
 QUIET_SECONDS = 0.5
 # What is left of the time that a stop may take, for the process to end by itself.
 STOP_MARGIN_SECONDS = 1.0
-HELLO_SECONDS = 1.0
 
 ReadyPath = Callable[[Call], bool]
 
@@ -95,10 +93,19 @@
                 name="configuration",
             )
             tasks.start(follow_members(balancer, store, backoffs[1]), name="members")
-            tasks.start(list_itself(balancer, store, backoffs[2]), name="listing")
+            member = Member(settings.address, BALANCER, settings.datacentre)
+            tasks.start(list_member(store, member, backoffs[2]), name="listing")
             tasks.start(catch_up(balancer, store), name="catching up")
             tasks.start(_ping(balancer), name="pings")
-            tasks.start(_greet(balancer), name="greeting")
+            tasks.start(
+                greet(
+                    settings,
+                    member,
+                    balancer.daemons,
+                    lambda: balancer.members.revision > 0,
+                ),
+                name="greeting",
+            )
             tasks.start(_tick(balancer), name="tick")
             tasks.start(prune(balancer, store), name="pruning")
             log.info("started", extra={"address": settings.address})
@@ -112,22 +119,13 @@
 ) -> Balancer:
     """Open a balancer's sockets and return its state."""
     now = asyncio.get_running_loop().time
-    received: list[Balancer] = []
-
-    def from_client(data: bytes, sender: tuple[str, int]) -> None:
-        received[0].from_client(data, now())
-
-    def from_daemon(data: bytes, sender: tuple[str, int]) -> None:
-        received[0].from_daemon(data, sender[0], now())
-
-    clients = sockets.enter_context(
-        datagram_socket(socket_address(settings.packets), from_client)
-    )
-    daemons: DatagramSocket = sockets.enter_context(
-        datagram_socket((settings.address, settings.internal_port), from_daemon)
+    clients = sockets.enter_context(datagram_socket(socket_address(settings.packets)))
+    daemons = sockets.enter_context(
+        datagram_socket((settings.address, settings.internal_port))
     )
     balancer = Balancer(settings, codec, clients, daemons, random.Random())
-    received.append(balancer)
+    clients.received = lambda data, sender: balancer.from_client(data, now())
+    daemons.received = lambda data, sender: balancer.from_daemon(data, sender[0], now())
     return balancer
 
 
@@ -180,22 +178,6 @@
     return agents + peers
 
 
-async def _greet(balancer: Balancer) -> None:
-    """Speak up to the seeds until a listing or a peer has been heard of.
-
-    A daemon that starts while the store turns it away would else know nobody.
-    """
-    settings = balancer.settings
-    hello = Hello(settings.address, BALANCER, settings.datacentre, "")
-    datagram = bytes((HELLO,)) + msgspec.msgpack.encode(hello)
-    while not balancer.members.revision:
-        for seed in settings.seeds:
-            address = socket_address(seed)[0]
-            if address != settings.address:
-                balancer.daemons.send(datagram, (address, settings.internal_port))
-        await asyncio.sleep(HELLO_SECONDS)
-
-
 async def _tick(balancer: Balancer) -> None:
     now: Callable[[], float] = asyncio.get_running_loop().time
     while True:
--- a/packages/cornelspan-standins/src/cornelspan_standins/objects.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/objects.py
@@ -18,7 +18,7 @@
 from collections import Counter, deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 import numpy
@@ -26,6 +26,7 @@
 from tornado.httpserver import HTTPServer
 
 from cornelspan_common.settings import Address, Checked, Name
+from cornelspan_common.tokens import TokenBucket
 
 VALUE_BYTES = 1_000_000
 KEPT_VALUES = 8
@@ -72,25 +73,6 @@
     reads: float = 2000.0
 
 
-@dataclass
-class Bucket:
-    """Token bucket of one second's calls."""
-
-    rate: float
-    tokens: float
-    filled: float = field(default_factory=time.monotonic)
-
-    def take(self) -> bool:
-        """Take one token if there is one."""
-        now = time.monotonic()
-        self.tokens = min(self.rate, self.tokens + (now - self.filled) * self.rate)
-        self.filled = now
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
 class ObjectStore:
     """The objects of one store, its faults, and what was asked of it.
 
@@ -107,8 +89,8 @@
         self.calls: Counter[str] = Counter()
         self.received_bytes = 0
         self.sent_bytes = 0
-        self.writes = Bucket(rates.writes, rates.writes)
-        self.reads = Bucket(rates.reads, rates.reads)
+        self.writes = TokenBucket(rates.writes, burst=rates.writes)
+        self.reads = TokenBucket(rates.reads, burst=rates.reads)
         self.changed = asyncio.Event()
 
     def chance(self, share: float) -> bool:
@@ -169,7 +151,7 @@
         """Return a number from the query, 0 if it isn't there."""
         return int(self.get_query_argument(name, "0"))
 
-    async def admit(self, kind: str, bucket: Bucket) -> bool:
+    async def admit(self, kind: str, bucket: TokenBucket) -> bool:
         """Count a call and let it pass, or end it as the faults say."""
         self.store.calls[kind] += 1
         self.store.received_bytes += len(self.request.body)
@@ -182,7 +164,7 @@
         if faults.down:
             self.drop()
             return False
-        if not bucket.take():
+        if not bucket.take(1, time.monotonic()):
             self.store.calls["refused"] += 1
             self.set_header("Retry-After", "1")
             self.answer(429, {"reason": "too many calls"})
--- a/tests/ownership_model.py
+++ b/tests/ownership_model.py
@@ -23,7 +23,7 @@
 
 
 def holders(records):
-    return tuple(entry.holder.name for entry in records.entries.values())
+    return tuple(entry.value.name for entry in records.entries.values())
 
 
 def without_question(message):
--- a/tests/test_passthrough_dead_flows.py
+++ b/tests/test_passthrough_dead_flows.py
@@ -55,7 +55,7 @@
     owner = owner_of(world, client)
     world.lost = lambda source, target, data: owner in (source[0], target[0])
     for agent in world.agents.values():
-        agent.directory.by_flow.clear()
+        agent.directory.entries.clear()
     world.move(client, over=BALANCERS[1])
     client.request()
     world.run(1.0)
@@ -100,7 +100,7 @@
     owner = owner_of(world, client)
     world.remove(owner)
     for agent in world.agents.values():
-        agent.directory.by_flow.clear()
+        agent.directory.entries.clear()
     world.run(3.0)
     world.move(client, over=BALANCERS[1])
     client.request()
--- a/tests/test_passthrough_flows.py
+++ b/tests/test_passthrough_flows.py
@@ -55,7 +55,7 @@
     owner = owner_of(world, client)
     for address, agent in world.agents.items():
         if address != owner:
-            agent.directory.by_flow.clear()
+            agent.directory.entries.clear()
     world.move(client, over=BALANCERS[1])
     client.request()
     world.run(0.3)
@@ -125,9 +125,9 @@
     owner = owner_of(world, client)
     assert owner != wrong_owner
     for agent in world.agents.values():
-        for flow in list(agent.directory.by_flow):
+        for flow in list(agent.directory.entries):
             number = world.agents[wrong_owner].own_address
-            agent.directory.record(flow, number, world.now)
+            agent.directory.put(flow, number, world.now)
     world.move(client, over=BALANCERS[1])
     client.request()
     world.run(0.3)
--- a/tests/test_passthrough_placing.py
+++ b/tests/test_passthrough_placing.py
@@ -12,7 +12,7 @@
 
 
 def pulse(state=READY, capacity=2, running=0, flows=0, cold=0, **more):
-    pong = Pong(1, "", "hall", "orders", state, capacity, running, flows, cold, 40)
+    pong = Pong("", "hall", "orders", state, capacity, running, flows, cold)
     return Pulse(pong=pong, **more)
 
 
