Hand the directory over by the entries' new name

Change: retire() reads the new name.

Measured: pytest of the ownership, router, directory, pass-through and store tests, 87 passed.

--- a/packages/cornelspan-ownership/src/cornelspan_ownership/router.py
+++ b/packages/cornelspan-ownership/src/cornelspan_ownership/router.py
@@ -390,4 +390,4 @@
         """Hand the directory over to the flows' next homes, and place nothing more."""
         self.retired = True
         for flow, entry in list(self.ownership.directory.owners.entries.items()):
-            self._register(flow, entry.holder)
+            self._register(flow, entry.value)
