Take an ended life of an endpoint back only while its successor is silent

Cause, found by reading: two reports of an ended life that arrive late, one after the other, were taken for its return. The agent then ended the living successor and reset all its flows. A partition may hold up several reports.

Change: an ended life returns only when the present one's report is overdue.

Measured: test_several_late_reports_do_not_bring_an_ended_life_back fails before and passes after; pytest tests/test_passthrough*, 53 passed.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
@@ -6,7 +6,8 @@
 
 # A report may be late by part of its interval; after 1.8 of them one is surely missing.
 MISSING_REPORTS = 1.8
-# An ended life that reports again was not delayed on the way if it goes on reporting.
+# An ended life that reports again is taken back if it goes on reporting while the one in
+# its place does not. Reports that were held up on the way may be several.
 RETURNING_REPORTS = 2
 # After this part of an interval without a first report an agent that has just started
 # looks whether there is an endpoint at all. Beside one that is gone it would wait for
@@ -67,7 +68,7 @@
         Returns:
             Whether it begins a new life of the endpoint.
         """
-        if report.life in self.ended and not self._returns(report.life):
+        if report.life in self.ended and not self._returns(report.life, now):
             return False
         begins = report.life != self.life
         if not begins and report.sequence <= self.sequence:
@@ -131,9 +132,12 @@
         self.sequence = -1
         self.state = READY
 
-    def _returns(self, life: str) -> bool:
+    def _returns(self, life: str, now: float) -> bool:
+        """Whether a life that was taken to have ended is the present one after all."""
         self.ended[life] += 1
         if self.ended[life] < RETURNING_REPORTS:
             return False
+        if self.life and not self.is_overdue(now):
+            return False
         del self.ended[life]
         return True
--- a/tests/test_passthrough_endpoint.py
+++ b/tests/test_passthrough_endpoint.py
@@ -27,6 +27,19 @@
     assert endpoint.life == "i-2"
 
 
+def test_several_late_reports_do_not_bring_an_ended_life_back(endpoint):
+    """Flows of the endpoint's new life are not given up.
+
+    A partition held up more than one report of the old life. They arrive one after the
+    other while the new life reports in time, so the old one can't be alive.
+    """
+    endpoint.report(report("i-1", 7), 0.0)
+    endpoint.report(report("i-2", 1), 1.0)
+    for sequence in (8, 9, 10):
+        assert not endpoint.report(report("i-1", sequence), 1.1)
+    assert endpoint.life == "i-2"
+
+
 def test_a_life_that_goes_on_reporting_was_not_over(endpoint):
     endpoint.report(report("i-2", 1), 0.0)
     endpoint.report(report("i-1", 7), 0.1)
