--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
@@ -6,8 +6,8 @@
 
 # A report may be late by part of its interval; after 1.8 of them one is surely missing.
 MISSING_REPORTS = 1.8
-# An ended life that reports again is taken back if it goes on reporting while the one in
-# its place does not. Reports that were held up on the way may be several.
+# An ended life that reports again is taken back if it goes on reporting while the one
+# in its place does not. Reports that were held up on the way may be several.
 RETURNING_REPORTS = 2
 # After this part of an interval without a first report an agent that has just started
 # looks whether there is an endpoint at all. Beside one that is gone it would wait for
