--- a/packages/cornelspan-requests/src/cornelspan_requests/exchange.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/exchange.py
@@ -18,11 +18,8 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from cornelspan_requests.outcomes import (
-    AnswerHead,
-    Refusal,
-    refusal_head,
-)
+from cornelspan_common.logs import get_log
+from cornelspan_requests.outcomes import AnswerHead, Refusal, refusal_head
 
 HEADER_BYTES = 65536
 HOP_HEADERS = frozenset(
@@ -41,6 +38,9 @@
 )
 
 
+log = get_log(__name__)
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """One request of a caller, whole.
@@ -103,17 +103,23 @@
         """End an answer that is whole."""
         try:
             self.connection.finish()
-        except HTTPOutputError:
-            self.cut()
+        except HTTPOutputError as error:
+            self.cut(str(error))
 
-    def cut(self) -> None:
-        """Close the connection, so that what was sent can't be taken for the whole."""
+    def cut(self, reason: str) -> None:
+        """Close the connection, so that what was sent can't be taken for the whole.
+
+        A caller that is still there gets half an answer, which is worth a line; one
+        that has hung up is not.
+        """
+        if self.begun and not self.connection.stream.closed():
+            log.warning("answer cut", extra={"reason": reason})
         self.connection.close()
 
     async def refuse(self, refusal: Refusal) -> None:
         """Answer in the agent's own name, or cut an answer that has begun."""
         if self.begun:
-            self.cut()
+            self.cut(f"{refusal.outcome.value}: {refusal.reason.value}")
             return
         text = f"{refusal.outcome}: {refusal.reason}\n".encode()
         await self.start(refusal_head(refusal, length=len(text)))
@@ -232,12 +238,12 @@
     try:
         await work
     except asyncio.CancelledError:
-        answer.cut()
+        answer.cut("cancelled")
         if not connection.stream.closed() or asyncio.current_task().cancelling():
             work.cancel()
             raise
-    except Exception:
-        answer.cut()
+    except Exception as error:
+        answer.cut(repr(error))
         raise
 
 
--- a/tests/test_flows_through_changes.py
+++ b/tests/test_flows_through_changes.py
@@ -55,7 +55,7 @@
         assert report.broken == 0, broken_requests(report)
         assert state.fabric.counts.broken == 0
         assert report.count(Outcome.WRONG_SERVICE) == 0
-        assert report.incomplete_answers == 0
+        assert report.incomplete_answers == 0, cut_requests(report)
         assert report.finished == report.opened > 50
 
 
@@ -63,6 +63,11 @@
     return [each for each in report.requests if each.outcome is Outcome.BROKEN][:5]
 
 
+def cut_requests(report):
+    cut = (Outcome.INCOMPLETE, Outcome.FOREIGN)
+    return [each for each in report.requests if each.outcome in cut][:5]
+
+
 async def halve(state, seconds):
     for number in range(ENDPOINTS // 2):
         await state.drain_agent("order-hub", number)
