Forget a gone member that has no entry

Cause, found by reading: a silent member's entry is removed from the store, and the balancers hear of that. WaitingLine.clear had none either.

Change: whoever removes an entry forgets the member itself; the unused function is gone.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -282,6 +282,18 @@
         gone = self.silences.gone(now)
         return [address for address in gone if is_pruner(own, peers, address)]
 
+    def forget_member(self, address: str) -> None:
+        """Forget a member that is gone.
+
+        One that only ever spoke for itself has no entry whose removal would be heard
+        of; it would be pinged, and waited for in searches, for ever.
+        """
+        self.members.forget(address)
+        self.members.remove(address, self.members.revision)
+        self.pulses.forget(address)
+        self.heard_balancers.pop(address, None)
+        self.members_changed()
+
     def tick(self, now: float) -> None:
         """Go on with searches that wait for a home, and forget what is too old."""
         for flow in self.searches.overdue(now):
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
@@ -203,5 +203,7 @@
         balancer.update_silences(now())
         for address in balancer.entries_to_remove(now()):
             removed = await store.remove_member(address)
+            if removed.is_ok():
+                balancer.forget_member(address)
             extra = {"address": address, "done": removed.is_ok()}
             log.info("entry of a silent member removed", extra=extra)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
@@ -69,10 +69,6 @@
         """Forget a flow that has ended."""
         self.by_flow.pop(flow, None)
 
-    def clear(self) -> None:
-        """Forget all."""
-        self.by_flow.clear()
-
     def take(self, now: float, pace_seconds: float) -> tuple[int, Held] | None:
         """Take the request that shall run next, None if none waits.
 
--- a/tests/test_passthrough_members.py
+++ b/tests/test_passthrough_members.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cornelspan_passthrough.members import AGENT, Member
 from passthrough_world import BALANCERS, ORDERS, small_world
 
 
@@ -29,3 +30,20 @@
         balancer.entries_to_remove(world.now) for balancer in world.balancers.values()
     ]
     assert sorted(removals) == [[], [ORDERS[0]]]
+
+
+def test_a_member_that_only_spoke_for_itself_is_forgotten_too(world):
+    """Operators find no balancer that pings a VM which is long gone.
+
+    An agent came up while the store turned it away and spoke to the seeds. Its VM goes
+    without a word; there is no entry whose removal the balancers would hear of.
+    """
+    told = Member("10.9.0.11", AGENT, "hall", "orders")
+    balancer = world.balancers[BALANCERS[0]]
+    balancer.members.tell(told)
+    balancer.members_changed()
+    balancer.ping_agent(told.address, world.now)
+    balancer.forget_member(told.address)
+    assert balancer.members.get(told.address) is None
+    assert told.address not in balancer.by_service["orders"]
+    assert told.address not in balancer.pulses.by_address
