Serve packets before HTTP is imported

Cause: after a common loss of power the last agent decides when clients are served, and half of an agent's 0.39 s of start went into tornado's HTTP modules, which no packet needs. First packets that reached a balancer before it had a configuration were dropped, so their clients came back 200 ms later at the earliest.

Change: both daemons open their packet sockets first; the HTTP server and the store's client are imported on a thread beside the event loop. A balancer holds first packets for up to a second until it has a configuration.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
@@ -30,7 +30,7 @@
 def open_flow(balancer: "Balancer", head: Head, data: bytes, now: float) -> None:
     """Take a first packet of a client, or a repeat of one."""
     if balancer.routes.configuration is None:
-        balancer.counts["opens_without_configuration"] += 1
+        _hold_unrouted(balancer, head, data, now)
         return
     route = balancer.routes.route(head.flow)
     if route is None:
@@ -50,6 +50,17 @@
     _place(balancer, opening, route, head.flow, data, now)
 
 
+def _hold_unrouted(
+    balancer: "Balancer", head: Head, data: bytes, now: float
+) -> None:
+    """Keep a first packet until there is a configuration to place it by."""
+    balancer.counts["opens_without_configuration"] += 1
+    opening = balancer.openings.get(head.flow, head.sequence, now)
+    if opening is None:
+        opening = balancer.openings.start(head.flow, head.sequence, now)
+    opening.held = data
+
+
 def _place(
     balancer: "Balancer",
     opening: Opening,
@@ -120,13 +131,16 @@
 
 
 def place_held(balancer: "Balancer", now: float) -> None:
-    """Place first packets that have waited for an agent, or give them up."""
+    """Place first packets that wait for an agent or a route, or give them up."""
     for flow, opening in balancer.openings.held():
-        route = balancer.routes.route(flow)
         waited = now - opening.started_at
+        if balancer.routes.configuration is None and waited <= HELD_SECONDS:
+            continue
+        route = balancer.routes.route(flow)
         if route is None or waited > HELD_SECONDS:
             opening.held = b""
-            _refuse(balancer, flow, "no agent answers", waited_ms=round(waited * 1000))
+            reason = "no agent answers" if route else "no route"
+            _refuse(balancer, flow, reason, waited_ms=round(waited * 1000))
             continue
         _place(balancer, opening, route, flow, opening.held, now)
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
@@ -1,15 +1,13 @@
 """What a balancer follows: the store, and peers that are ahead of it."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
-import msgspec
 from result import Err, Ok, Result
 
-from cornelspan_common.calls import CallBudget, HttpCaller
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough.balancer import Balancer
 from cornelspan_passthrough.configuration import Configuration
-from cornelspan_passthrough.members import Member
 from cornelspan_passthrough.store import (
     Backoff,
     ConfigurationAt,
@@ -37,19 +35,11 @@
 # A change that a peer has told is on its way here too; the store is asked only if the
 # watch has not brought it by then.
 BEHIND_SECONDS = 0.15
-SNAPSHOT_PATH = "/snapshot"
-PEER_CALLS_PER_SECOND = 10.0
-PEER_CALL_SECONDS = 1.0
 PRUNE_SECONDS = 5.0
 
-log = get_log(__name__)
-
-
-class Snapshot(msgspec.Struct, frozen=True):
-    """What a balancer tells a peer that can't reach the store."""
+FetchFromPeer = Callable[[Balancer, str], Awaitable[None]]
 
-    configuration: Configuration | None
-    members: tuple[Member, ...]
+log = get_log(__name__)
 
 
 def take_configuration(
@@ -103,7 +93,7 @@
         match await store.list_members():
             case Ok(found):
                 balancer.members.replace(found.members, found.revision)
-                _members_are(balancer)
+                members_are(balancer)
                 return Ok(found.revision)
             case error:
                 return error
@@ -117,7 +107,7 @@
                     balancer.members.remove(address, found.revision)
                     balancer.pulses.forget(address)
                 if found.changed or found.removed:
-                    _members_are(balancer)
+                    members_are(balancer)
                     await asyncio.sleep(MEMBERS_PAUSE_SECONDS)
                 return Ok(found.revision)
             case error:
@@ -126,7 +116,8 @@
     await follow("members", read, watch, backoff)
 
 
-def _members_are(balancer: Balancer) -> None:
+def members_are(balancer: Balancer) -> None:
+    """Take in that the known members have changed."""
     balancer.members_changed()
     members = balancer.members
     extra = {
@@ -137,7 +128,9 @@
     log.info("members known", extra=extra)
 
 
-async def catch_up(balancer: Balancer, store: PlatformStore) -> None:
+async def catch_up(
+    balancer: Balancer, store: PlatformStore, fetch: FetchFromPeer
+) -> None:
     """Fetch a configuration that a peer has and this balancer has not.
 
     Its own watch may hang on a connection that went silent, or the store may turn just
@@ -157,44 +150,13 @@
             case Err(error):
                 log.info("store can't help", extra={"reason": str(error)})
         if _is_behind(balancer):
-            await _fetch_from_peer(balancer, balancer.newest_peer)
+            await fetch(balancer, balancer.newest_peer)
 
 
 def _is_behind(balancer: Balancer) -> bool:
     return balancer.newest_version > balancer.routes.version
 
 
-async def _fetch_from_peer(balancer: Balancer, peer: str) -> None:
-    """Take configuration and members from a peer."""
-    port = balancer.settings.internal_port
-    budget = CallBudget(PEER_CALLS_PER_SECOND)
-    caller = HttpCaller(f"http://{peer}:{port}", budget, call_seconds=PEER_CALL_SECONDS)
-    try:
-        match await caller.send("GET", SNAPSHOT_PATH):
-            case Ok(response) if response.code == 200:
-                _take_snapshot(balancer, response.body, peer)
-            case Ok(response):
-                log.info("peer can't help", extra={"peer": peer, "code": response.code})
-            case Err(error):
-                log.info("peer can't help", extra={"peer": peer, "reason": str(error)})
-    finally:
-        caller.close()
-
-
-def _take_snapshot(balancer: Balancer, body: bytes, peer: str) -> None:
-    try:
-        snapshot = msgspec.msgpack.decode(body, type=Snapshot)
-    except msgspec.DecodeError as error:
-        log.warning("broken snapshot", extra={"peer": peer, "reason": str(error)})
-        return
-    take_configuration(balancer, snapshot.configuration, peer)
-    if balancer.members.revision:
-        return
-    news = [balancer.members.tell(member) for member in snapshot.members]
-    if any(news):
-        _members_are(balancer)
-
-
 async def prune(balancer: Balancer, store: PlatformStore) -> None:
     """Take away the entries of members that are gone for good."""
     now = asyncio.get_running_loop().time
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/http.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/http.py
@@ -1,37 +1,12 @@
 """A small HTTP server on tornado: a function from a request to an answer."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
-JSON = "application/json"
-TEXT = "text/plain; version=0.0.4"
-BINARY = "application/octet-stream"
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Status, body and type of the body."""
-
-    status: int
-    body: bytes = b""
-    content_type: str = TEXT
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """What a caller asks."""
-
-    method: str
-    path: str
-    body: bytes
-
-
-NOT_FOUND = Answer(404)
-Handler = Callable[[Call], Answer]
+from cornelspan_passthrough.calls import Answer, Call, Handler
 
 
 @contextmanager
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -10,19 +10,20 @@
 from cornelspan_common.logs import get_log
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.agent import Agent
+from cornelspan_passthrough.calls import JSON, NOT_FOUND, Answer, Call
 from cornelspan_passthrough.datagrams import datagram_socket
 from cornelspan_passthrough.delivering import release
 from cornelspan_passthrough.endpoint import Report
 from cornelspan_passthrough.greeting import greet
 from cornelspan_passthrough.heads import PacketCodec
 from cornelspan_passthrough.hops import GONE
-from cornelspan_passthrough.http import JSON, NOT_FOUND, Answer, Call, http_server
+from cornelspan_passthrough.importing import import_aside
 from cornelspan_passthrough.listing import list_member
 from cornelspan_passthrough.members import AGENT, Member
 from cornelspan_passthrough.metrics import agent_page
 from cornelspan_passthrough.pulses import DOWN
 from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
-from cornelspan_passthrough.store import Backoff, PlatformStore
+from cornelspan_passthrough.store import Backoff, OpenStore, PlatformStore
 
 SWEEP_SECONDS = 2.0
 # How often requests that wait are looked at when nothing else makes room for them.
@@ -72,45 +73,38 @@
 async def run_agent(
     settings: PassthroughAgentSettings,
     codec: PacketCodec,
-    store: PlatformStore,
+    open_store: OpenStore,
     read_call: ReadCall,
     stop: asyncio.Event,
 ) -> None:
     """Run an agent until it is told to stop.
 
+    Packets come first: they are served before what answers HTTP is even imported. An
+    agent that comes up beside its endpoint is waited for by every client of it, while
+    the endpoint's report and the listing may be a few hundred milliseconds later.
+
     Args:
         settings: Its settings.
         codec: The packets' form.
-        store: The platform's store.
+        open_store: Returns the platform's store.
         read_call: What an endpoint's call means; None for one that is unknown.
         stop: Set when the process shall stop.
     """
     with ExitStack() as sockets:
         agent = open_agent(settings, codec, sockets)
-        now = asyncio.get_running_loop().time
-        sockets.enter_context(
-            http_server(
-                socket_address(settings.reports),
-                lambda call: _answer(agent, read_call(call), now()),
-            )
-        )
-        if settings.metrics_port is not None:
-            sockets.enter_context(
-                http_server(
-                    (settings.address, settings.metrics_port),
-                    lambda call: agent_page(agent),
-                )
-            )
         async with task_group() as tasks:
             member = _member(settings)
-            tasks.start(_stay_listed(agent, member, store), name="listing")
+            tasks.start(_sweep(agent), name="sweep")
+            tasks.start(_release(agent), name="release")
             tasks.start(
                 greet(settings, member, agent.daemons, lambda: agent.pinged_at > 0),
                 name="greeting",
             )
+            log.info("packets served", extra={"address": settings.address})
+            await _answer_calls(agent, read_call, sockets)
+            store = await open_store()
+            tasks.start(_stay_listed(agent, member, store), name="listing")
             tasks.start(_watch_endpoint(agent), name="endpoint")
-            tasks.start(_sweep(agent), name="sweep")
-            tasks.start(_release(agent), name="release")
             log.info("started", extra={"address": settings.address})
             await stop.wait()
             await _leave(agent, store)
@@ -132,6 +126,22 @@
     return agent
 
 
+async def _answer_calls(agent: Agent, read_call: ReadCall, sockets: ExitStack) -> None:
+    """Answer the endpoint's calls, and those for metrics."""
+    settings = agent.settings
+    now = asyncio.get_running_loop().time
+    http = await import_aside("cornelspan_passthrough.http")
+    sockets.enter_context(
+        http.http_server(
+            socket_address(settings.reports),
+            lambda call: _answer(agent, read_call(call), now()),
+        )
+    )
+    if settings.metrics_port is not None:
+        address = (settings.address, settings.metrics_port)
+        sockets.enter_context(http.http_server(address, lambda call: agent_page(agent)))
+
+
 def _member(settings: PassthroughAgentSettings) -> Member:
     return Member(settings.address, AGENT, settings.datacentre, settings.service)
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -6,15 +6,12 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
-import msgspec
-
 from cornelspan_common.logs import get_log
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.balancer import Balancer
+from cornelspan_passthrough.calls import BINARY, NOT_FOUND, Answer, Call, Handler
 from cornelspan_passthrough.datagrams import datagram_socket
 from cornelspan_passthrough.following import (
-    SNAPSHOT_PATH,
-    Snapshot,
     catch_up,
     follow_configuration,
     follow_members,
@@ -22,14 +19,15 @@
 )
 from cornelspan_passthrough.greeting import greet
 from cornelspan_passthrough.heads import PacketCodec
-from cornelspan_passthrough.http import BINARY, NOT_FOUND, Answer, Call, http_server
+from cornelspan_passthrough.importing import import_aside
 from cornelspan_passthrough.listing import list_member
 from cornelspan_passthrough.members import BALANCER, Member
 from cornelspan_passthrough.metrics import balancer_page
 from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
+from cornelspan_passthrough.snapshots import SNAPSHOT_PATH, encode_snapshot
 from cornelspan_passthrough.store import (
     Backoff,
-    PlatformStore,
+    OpenStore,
 )
 from cornelspan_passthrough.waking import Suspensions
 
@@ -52,41 +50,30 @@
 async def run_balancer(
     settings: PassthroughBalancerSettings,
     codec: PacketCodec,
-    store: PlatformStore,
+    open_store: OpenStore,
     asks_readiness: ReadyPath,
     stop: asyncio.Event,
 ) -> None:
     """Run a balancer until it is told to stop, then until routers have let go of it.
 
+    Packets that come while HTTP is still being imported and the configuration read
+    wait here for up to a second, instead of for their client's next repeat.
+
     Args:
         settings: Its settings.
         codec: The packets' form.
-        store: The platform's store.
+        open_store: Returns the platform's store.
         asks_readiness: Whether a call asks for the balancer's readiness.
         stop: Set when the process shall stop.
     """
     with ExitStack() as sockets:
         balancer = open_balancer(settings, codec, sockets)
-        sockets.enter_context(
-            http_server(
-                socket_address(settings.ready),
-                lambda call: _readiness(balancer, call, asks_readiness),
-            )
-        )
-        sockets.enter_context(
-            http_server(
-                (settings.address, settings.internal_port),
-                lambda call: _peer_call(balancer, call),
-            )
-        )
-        if settings.metrics_port is not None:
-            sockets.enter_context(
-                http_server(
-                    (settings.address, settings.metrics_port),
-                    lambda call: balancer_page(balancer),
-                )
-            )
         async with task_group() as tasks:
+            tasks.start(_tick(balancer), name="tick")
+            log.info("packets taken", extra={"address": settings.address})
+            await _answer_calls(balancer, asks_readiness, sockets)
+            store = await open_store()
+            fetching = await import_aside("cornelspan_passthrough.fetching")
             backoffs = [Backoff(balancer.chance) for _ in range(3)]
             tasks.start(
                 follow_configuration(balancer, store, backoffs[0]),
@@ -95,7 +82,10 @@
             tasks.start(follow_members(balancer, store, backoffs[1]), name="members")
             member = Member(settings.address, BALANCER, settings.datacentre)
             tasks.start(list_member(store, member, backoffs[2]), name="listing")
-            tasks.start(catch_up(balancer, store), name="catching up")
+            tasks.start(
+                catch_up(balancer, store, fetching.fetch_from_peer),
+                name="catching up",
+            )
             tasks.start(_ping(balancer), name="pings")
             tasks.start(
                 greet(
@@ -106,7 +96,6 @@
                 ),
                 name="greeting",
             )
-            tasks.start(_tick(balancer), name="tick")
             tasks.start(prune(balancer, store), name="pruning")
             log.info("started", extra={"address": settings.address})
             await stop.wait()
@@ -129,6 +118,27 @@
     return balancer
 
 
+async def _answer_calls(
+    balancer: Balancer, asks_readiness: ReadyPath, sockets: ExitStack
+) -> None:
+    """Answer the routers' probes, and calls of peers and for metrics."""
+    settings = balancer.settings
+    http = await import_aside("cornelspan_passthrough.http")
+    handlers: dict[tuple[str, int], Handler] = {
+        socket_address(settings.ready): lambda call: _readiness(
+            balancer, call, asks_readiness
+        ),
+        (settings.address, settings.internal_port): lambda call: _peer_call(
+            balancer, call
+        ),
+    }
+    if settings.metrics_port is not None:
+        address = (settings.address, settings.metrics_port)
+        handlers[address] = lambda call: balancer_page(balancer)
+    for address, handler in handlers.items():
+        sockets.enter_context(http.http_server(address, handler))
+
+
 def _readiness(balancer: Balancer, call: Call, asks_readiness: ReadyPath) -> Answer:
     if not asks_readiness(call):
         return NOT_FOUND
@@ -138,8 +148,7 @@
 def _peer_call(balancer: Balancer, call: Call) -> Answer:
     if call.path != SNAPSHOT_PATH:
         return NOT_FOUND
-    snapshot = Snapshot(balancer.routes.configuration, tuple(balancer.members.all()))
-    return Answer(200, msgspec.msgpack.encode(snapshot), BINARY)
+    return Answer(200, encode_snapshot(balancer), BINARY)
 
 
 async def _ping(balancer: Balancer) -> None:
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/snapshots.py
@@ -0,0 +1,41 @@
+"""What a balancer tells a peer that can't reach the store."""
+
+import msgspec
+
+from cornelspan_common.logs import get_log
+from cornelspan_passthrough.balancer import Balancer
+from cornelspan_passthrough.configuration import Configuration
+from cornelspan_passthrough.following import members_are, take_configuration
+from cornelspan_passthrough.members import Member
+
+SNAPSHOT_PATH = "/snapshot"
+
+log = get_log(__name__)
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Configuration and members that a balancer knows."""
+
+    configuration: Configuration | None
+    members: tuple[Member, ...]
+
+
+def encode_snapshot(balancer: Balancer) -> bytes:
+    """Return what a balancer knows, for a peer."""
+    members = tuple(balancer.members.all())
+    return msgspec.msgpack.encode(Snapshot(balancer.routes.configuration, members))
+
+
+def take_snapshot(balancer: Balancer, body: bytes, peer: str) -> None:
+    """Take in what a peer knows, where it is newer."""
+    try:
+        snapshot = msgspec.msgpack.decode(body, type=Snapshot)
+    except msgspec.DecodeError as error:
+        log.warning("broken snapshot", extra={"peer": peer, "reason": str(error)})
+        return
+    take_configuration(balancer, snapshot.configuration, peer)
+    if balancer.members.revision:
+        return
+    news = [balancer.members.tell(member) for member in snapshot.members]
+    if any(news):
+        members_are(balancer)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
@@ -92,6 +92,9 @@
         """Take a member off the list."""
 
 
+OpenStore = Callable[[], Awaitable[PlatformStore]]
+
+
 class Backoff:
     """Growing waits between calls that fail one after the other."""
 
--- a/tests/test_passthrough_first_packets.py
+++ b/tests/test_passthrough_first_packets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cornelspan_passthrough.configuration import RouteTable
 from passthrough_world import BALANCERS, ORDERS, RECEIPTS, small_world
 
 
@@ -48,6 +49,34 @@
     assert world.endpoints[address].opened == 0
 
 
+def test_a_first_packet_waits_for_the_configuration(world):
+    """The caller's flow opens before its own repeat after 200 ms.
+
+    A balancer is up and has not read the configuration yet. A first packet dropped
+    then is repeated 200 ms later at the earliest, though the route is known after 50.
+    """
+    balancer = world.balancers[BALANCERS[0]]
+    known = balancer.routes.configuration
+    balancer.routes = RouteTable()
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.05)
+    assert client.events == []
+    balancer.routes.replace(known)
+    world.run(0.1)
+    assert client.events == ["open", "answer"]
+
+
+def test_a_first_packet_is_refused_when_no_configuration_comes(world):
+    """The caller is told after a second, in time for a try of its own.
+
+    The store is away, and so is every peer that could tell the configuration.
+    """
+    world.balancers[BALANCERS[0]].routes = RouteTable()
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(1.1)
+    assert client.events == ["refused"]
+
+
 def test_a_first_packet_waits_for_an_agent_that_comes_up(world):
     """The caller's flow opens before its own repeat after 200 ms.
 
