Run waiting requests by what is due next

Cause: after an outage the line before a full endpoint was worked off by age within a priority.

Change: a request is due when its answer would become late, and one that is late already when its caller gives up. What a client has waited for its flow, known from the number of the first packet's copy, counts against the flow's first request. Priority, target and budget travel as one `Urgency`.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -140,8 +140,7 @@
             self._refuse(head.flow, refusal, hop.packet, origin)
             return
         owned = self.flows.start(head.flow, origin, hop.homes, now)
-        owned.priority = hop.priority
-        owned.budget_seconds = hop.budget_milliseconds / 1000
+        owned.urgency = hop.urgency
         self.counts["flows_offered"] += 1
         self.to_endpoint(hop.packet, hops.OPEN)
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
@@ -7,6 +7,7 @@
 from cornelspan_passthrough.flows import NO_REQUEST, OwnedFlow, is_repeat
 from cornelspan_passthrough.heads import RST, Head, address_text, flow_text
 from cornelspan_passthrough.pulses import DOWN
+from cornelspan_passthrough.urgency import times
 from cornelspan_passthrough.waiting import Held
 
 if TYPE_CHECKING:
@@ -49,15 +50,16 @@
             return
         agent.flows.forget_lost_requests(now)
         if agent.flows.running >= room(agent):
-            deadline = now + owned.budget_seconds
-            held = Held(owned.priority, deadline, now)
+            is_first = owned.sent_up_to is None
+            until = times(owned.urgency, now, is_first=is_first)
+            held = Held(owned.urgency.priority, until, now)
             agent.waiting.hold(head.flow, held, packet, head.sequence)
             agent.counts["requests_held"] += 1
             log.info(
                 "request held",
                 extra={
                     "flow": flow_text(head.flow),
-                    "priority": owned.priority,
+                    "priority": owned.urgency.priority,
                     "running": agent.flows.running,
                     "room": room(agent),
                     "waiting": len(agent.waiting),
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
@@ -10,6 +10,7 @@
 from cornelspan_passthrough.members import service_tag
 from cornelspan_passthrough.openings import HELD_SECONDS, Opening
 from cornelspan_passthrough.placing import REFUSED_SECONDS, Candidate, choose
+from cornelspan_passthrough.urgency import MILLISECONDS, Urgency
 
 if TYPE_CHECKING:
     from cornelspan_passthrough.balancer import Balancer
@@ -22,7 +23,6 @@
 # Agents that lost power together come up within some 300 ms; most are there this long
 # after the first.
 GATHER_SECONDS = 0.2
-HIGHEST_PRIORITY_BYTE = 255
 
 log = get_log(__name__)
 
@@ -38,11 +38,11 @@
         return
     opening = balancer.openings.get(head.flow, head.sequence, now)
     if opening is None:
-        opening = balancer.openings.start(head.flow, head.sequence, now)
+        opening = _start(balancer, head, now)
     elif opening.held:
         return
     elif opening.confirmed:
-        _offer(balancer, opening, route, head.flow, data)
+        _offer(balancer, opening, route, head.flow, data, now)
         return
     # A repeat of a first packet that nobody has answered yet: the endpoint it went
     # to may be gone. At another one it opens at once, and only the endpoint whose
@@ -50,14 +50,17 @@
     _place(balancer, opening, route, head.flow, data, now)
 
 
-def _hold_unrouted(
-    balancer: "Balancer", head: Head, data: bytes, now: float
-) -> None:
+def _start(balancer: "Balancer", head: Head, now: float) -> Opening:
+    began_at = now - balancer.codec.waited_seconds(head)
+    return balancer.openings.start(head.flow, head.sequence, now, began_at)
+
+
+def _hold_unrouted(balancer: "Balancer", head: Head, data: bytes, now: float) -> None:
     """Keep a first packet until there is a configuration to place it by."""
     balancer.counts["opens_without_configuration"] += 1
     opening = balancer.openings.get(head.flow, head.sequence, now)
     if opening is None:
-        opening = balancer.openings.start(head.flow, head.sequence, now)
+        opening = _start(balancer, head, now)
     opening.held = data
 
 
@@ -108,7 +111,7 @@
     )
     pulse.placed += 1
     balancer.counts["flows_placed"] += 1
-    _offer(balancer, opening, route, flow, data)
+    _offer(balancer, opening, route, flow, data, now)
 
 
 def _knows_agents(balancer: "Balancer", route: Route, now: float) -> bool:
@@ -168,15 +171,25 @@
 
 
 def _offer(
-    balancer: "Balancer", opening: Opening, route: Route, flow: int, data: bytes
+    balancer: "Balancer",
+    opening: Opening,
+    route: Route,
+    flow: int,
+    data: bytes,
+    now: float,
 ) -> None:
     """Send a first packet to the agent that was chosen for it."""
     tag = service_tag(opening.service)
     homes = [int(IPv4Address(home)) for home in balancer.homes.of(flow)]
     first, second = (*homes, hops.NOBODY, hops.NOBODY)[:2]
-    priority = min(HIGHEST_PRIORITY_BYTE, route.priority)
-    budget = route.timeout_milliseconds
-    hop = hops.Open(priority, budget, tag, (first, second), opening.is_final, data)
+    waited = round((now - opening.began_at) * MILLISECONDS)
+    urgency = Urgency(
+        route.priority,
+        route.target_milliseconds,
+        route.timeout_milliseconds,
+        waited,
+    )
+    hop = hops.Open(urgency, tag, (first, second), opening.is_final, data)
     balancer.send(opening.owner, hops.encode_open(hop))
 
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -5,12 +5,9 @@
 
 from cornelspan_passthrough.heads import Head
 from cornelspan_passthrough.histograms import Histogram
+from cornelspan_passthrough.urgency import UNKNOWN, Urgency
 
 NO_REQUEST = 0.0
-# A flow that opened before its agent was restarted: taken for one of the middle, so
-# that it neither pushes in nor starves.
-UNKNOWN_PRIORITY = 1
-UNKNOWN_BUDGET_SECONDS = 2.0
 # A request that has run this many times the usual is no longer taken to fill a slot:
 # its client has gone, or the endpoint is grey and will never answer. Counted on, a few
 # of them took up all the room of a one-slot endpoint, and what waited there was dropped
@@ -35,8 +32,8 @@
     """One flow.
 
     ``origin`` is the balancer that its first packet came over and ``homes`` the agents
-    that record the owner. ``priority`` and ``budget_seconds`` are the route's when the
-    flow opened. ``opened`` says that the endpoint surely holds it, as it has sent more
+    that record the owner. ``urgency`` is what the route said when the flow
+    opened. ``opened`` says that the endpoint surely holds it, as it has sent more
     than its answer to the first packet. ``acknowledged`` is what the client has
     acknowledged last. ``request_at`` is when a request began, ``NO_REQUEST`` for none.
     ``is_learned`` says that the flow opened before this process started, and that no
@@ -48,8 +45,7 @@
     origin: str
     homes: tuple[int, int]
     used_at: float
-    priority: int = UNKNOWN_PRIORITY
-    budget_seconds: float = UNKNOWN_BUDGET_SECONDS
+    urgency: Urgency = UNKNOWN
     answered: bool = False
     opened: bool = False
     ended: bool = False
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/heads.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/heads.py
@@ -45,13 +45,15 @@
     ``read_client`` and ``read_endpoint`` return None for bytes that are no packet. A
     packet that an endpoint has bounced is read as its client sent it. ``marked``
     returns a packet with another mark and without the flag of a bounced one, and
-    ``reset`` the packet that ends a flow in the name of its route.
+    ``reset`` the packet that ends a flow in the name of its route. ``waited_seconds``
+    tells how long a client has waited already when it sends a first packet.
     """
 
     read_client: Callable[[bytes], Head | None]
     read_endpoint: Callable[[bytes], Head | None]
     marked: Callable[[bytes, int], bytes]
     reset: Callable[[int, int], bytes]
+    waited_seconds: Callable[[Head], float]
 
 
 def flow_number(
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
@@ -21,6 +21,8 @@
 from ipaddress import IPv4Address
 from typing import NamedTuple
 
+from cornelspan_passthrough.urgency import Urgency
+
 OPEN = 1
 DELIVER = 2
 FIND = 3
@@ -39,8 +41,9 @@
 TRY = 16
 
 FLOW_BYTES = 12
-OPEN_HEAD = struct.Struct("<BBHIII?")
-LONGEST_BUDGET = 65_535
+OPEN_HEAD = struct.Struct("<BBHHHIII?")
+LONGEST_MILLISECONDS = 65_535
+LOWEST_PRIORITY = 255
 FLOW_HEAD = struct.Struct("<BB12sI")
 NOBODY = 0
 PASSED_HEAD = 5
@@ -49,15 +52,13 @@
 class Open(NamedTuple):
     """A first packet on its way to an endpoint of a service.
 
-    ``service_tag`` stands for the service that the balancer chose, ``priority`` is the
-    route's, 0 the highest, and ``budget_milliseconds`` how long a request on the flow
-    may take. ``homes`` are the addresses of the agents that shall record the owner,
-    ``NOBODY`` for none. ``is_final`` says that no other endpoint is left to try, so
-    that one that is merely busy takes it.
+    ``urgency`` is that of the flow's requests. ``service_tag`` stands for the service
+    that the balancer chose. ``homes`` are the addresses of the agents that shall record
+    the owner, ``NOBODY`` for none. ``is_final`` says that no other endpoint is left to
+    try, so that one that is merely busy takes it.
     """
 
-    priority: int
-    budget_milliseconds: int
+    urgency: Urgency
     service_tag: int
     homes: tuple[int, int]
     is_final: bool
@@ -76,15 +77,13 @@
 
 def encode_open(hop: Open) -> bytes:
     """Return the datagram of a first packet."""
-    first, second = hop.homes
-    budget = min(LONGEST_BUDGET, hop.budget_milliseconds)
+    priority, *milliseconds = hop.urgency
     head = OPEN_HEAD.pack(
         OPEN,
-        hop.priority,
-        budget,
+        min(LOWEST_PRIORITY, priority),
+        *(min(LONGEST_MILLISECONDS, each) for each in milliseconds),
         hop.service_tag,
-        first,
-        second,
+        *hop.homes,
         hop.is_final,
     )
     return head + hop.packet
@@ -94,9 +93,9 @@
     """Return the first packet that a datagram carries; None for a broken one."""
     if len(data) < OPEN_HEAD.size:
         return None
-    _, priority, budget, tag, first, second, final = OPEN_HEAD.unpack_from(data)
+    _, *urgency, tag, first, second, is_final = OPEN_HEAD.unpack_from(data)
     packet = data[OPEN_HEAD.size :]
-    return Open(priority, budget, tag, (first, second), final, packet)
+    return Open(Urgency(*urgency), tag, (first, second), is_final, packet)
 
 
 def encode_packet(kind: int, packet: bytes) -> bytes:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
@@ -16,15 +16,17 @@
 class Opening:
     """A flow on its way to an endpoint; ``confirmed`` once the endpoint took it.
 
-    ``owner`` is the agent it was sent to last, ``refused`` those whose endpoint takes
-    no flow, ``busy`` those that only had too much to do; at the ``is_final`` try that
-    doesn't count. ``held`` is its first packet while no agent is known to be there,
-    ``service`` what the configuration chose for it.
+    ``began_at`` is when its client sent the first copy, ``started_at`` when one came
+    here first. ``owner`` is the agent it was sent to last, ``refused`` those whose
+    endpoint takes no flow, ``busy`` those that only had too much to do; at the
+    ``is_final`` try that doesn't count. ``held`` is its first packet while no agent is
+    known to be there, ``service`` what the configuration chose for it.
     """
 
     sequence: int
     owner: str
     started_at: float
+    began_at: float
     refused: set[str] = field(default_factory=set)
     confirmed: bool = False
     held: bytes = b""
@@ -58,10 +60,10 @@
             return None
         return opening
 
-    def start(self, flow: int, sequence: int, now: float) -> Opening:
+    def start(self, flow: int, sequence: int, now: float, began_at: float) -> Opening:
         """Begin an opening in place of any older one of that flow."""
         self.by_flow.pop(flow, None)
-        opening = Opening(sequence, "", now)
+        opening = Opening(sequence, "", now, began_at)
         self.by_flow[flow] = opening
         return opening
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/waiting.py
@@ -3,15 +3,17 @@
 The load pattern it answers: a crowd. After a disaster, or when many users come at once,
 an endpoint gets more requests than it works on and queues; it sheds the rest, whatever
 they are, and their callers come back at once. Held here instead, they go out when there
-is room: the route's highest priority first, then those with the least time left.
+is room: the route's highest priority first, then by what is due next.
 
     line = WaitingLine()
-    line.hold(flow, Held(priority=1, deadline=12.5), packet, sequence)
+    line.hold(flow, Held(1, Times(11.2, 12.5), since=11.0), packet, sequence)
     line.take(now=11.0, pace_seconds=0.04)
 """
 
 from dataclasses import dataclass, field
 
+from cornelspan_passthrough.urgency import Times
+
 # A flow's ends have at most this many packets in flight.
 FLOW_PACKETS = 16
 # Requests held at once. At two slots and 40 ms this is more than what any time budget
@@ -23,13 +25,13 @@
 class Held:
     """One flow's request that waits.
 
-    ``priority`` is the route's, 0 the highest. ``deadline`` is when its caller gives up
-    and ``since`` when it began to wait, in seconds of the loop's clock. ``packets`` are
-    by sequence number, so a caller's repeat takes no room.
+    ``priority`` is the route's, 0 the highest. ``until`` tells how long its answer is
+    worth something, and ``since`` when it began to wait, in seconds of the loop's
+    clock. ``packets`` are by sequence number, so a caller's repeat takes no room.
     """
 
     priority: int
-    deadline: float
+    until: Times
     since: float
     packets: dict[int, bytes] = field(default_factory=dict)
 
@@ -73,15 +75,20 @@
         """Take the request that shall run next, None if none waits.
 
         One that can't be done in its time comes after all that can, or a crowd's oldest
-        would each run just too late.
+        would each run just too late. Within a priority a request is due when its answer
+        would become late, and one whose answer is late already when its caller gives
+        up. By age alone, the backlog of an outage would make each request that comes
+        after it late as well, until the last of it is served.
         """
         if not self.by_flow:
             return None
         soonest = now + pace_seconds
 
-        def order(flow: int) -> tuple[bool, int, float]:
+        def order(flow: int) -> tuple[bool, int, float, float]:
             held = self.by_flow[flow]
-            return held.deadline < soonest, held.priority, held.deadline
+            target, deadline = held.until
+            due = target if target >= soonest else deadline
+            return deadline < soonest, held.priority, due, deadline
 
         flow = min(self.by_flow, key=order)
         return flow, self.by_flow.pop(flow)
@@ -91,7 +98,9 @@
 
         Run now, they would take slots for answers that nobody reads.
         """
-        flows = [flow for flow, held in self.by_flow.items() if held.deadline <= now]
+        flows = [
+            flow for flow, held in self.by_flow.items() if held.until.deadline <= now
+        ]
         for flow in flows:
             del self.by_flow[flow]
         self.expired += len(flows)
--- a/tests/test_passthrough_waiting.py
+++ b/tests/test_passthrough_waiting.py
@@ -2,6 +2,7 @@
 
 from cornelspan_passthrough.flows import FlowTable
 from cornelspan_passthrough.heads import ACK, Head
+from cornelspan_passthrough.urgency import Times, Urgency, times
 from cornelspan_passthrough.waiting import LIMIT, Held, WaitingLine
 from cornelspan_standins.packet_world import PacketWorld
 
@@ -9,8 +10,8 @@
 AGENT = "10.1.0.11"
 
 
-def held(priority, deadline):
-    return Held(priority=priority, deadline=deadline, since=0.0)
+def held(priority, deadline, target=8.0):
+    return Held(priority, Times(target, deadline), since=0.0)
 
 
 def test_the_highest_priority_goes_first_then_the_least_time_left():
@@ -29,6 +30,44 @@
     assert [line.take(1.0, 0.1)[0] for _ in range(2)] == [2, 1]
 
 
+def test_what_is_late_already_lets_those_pass_that_are_not():
+    """Callers who come after an outage get their answers on time.
+
+    Two requests of the outage's backlog are late whatever happens. By age they would
+    go first, and the two that have just come would be late as well.
+    """
+    line = WaitingLine()
+    line.hold(1, held(2, 2.0, target=0.9), b"a", 1)
+    line.hold(2, held(2, 2.1, target=0.9), b"b", 1)
+    line.hold(3, held(2, 2.6, target=1.2), b"c", 1)
+    line.hold(4, held(2, 2.5, target=1.2), b"d", 1)
+    assert [line.take(1.0, 0.04)[0] for _ in range(4)] == [4, 3, 1, 2]
+
+
+def test_a_late_request_is_run_before_its_caller_gives_up():
+    """The caller of the backlog gets a late answer rather than none.
+
+    It gives up before the other's answer would become late, so both can be served.
+    """
+    line = WaitingLine()
+    line.hold(1, held(2, 2.6, target=1.2), b"a", 1)
+    line.hold(2, held(2, 1.1, target=0.9), b"b", 1)
+    assert [line.take(1.0, 0.04)[0] for _ in range(2)] == [2, 1]
+
+
+def test_what_a_client_waited_for_its_flow_counts_for_the_first_request_only():
+    urgency = Urgency(1, 200, 2000, waited_milliseconds=600)
+    assert times(urgency, 10.0, is_first=True) == Times(9.6, 11.4)
+    assert times(urgency, 10.0, is_first=False) == Times(10.2, 12.0)
+
+
+def test_a_late_order_still_goes_before_what_is_worth_less():
+    line = WaitingLine()
+    line.hold(1, held(2, 3.0, target=1.2), b"a", 1)
+    line.hold(2, held(1, 2.0, target=0.5), b"b", 1)
+    assert [line.take(1.0, 0.04)[0] for _ in range(2)] == [2, 1]
+
+
 def test_a_request_whose_caller_gave_up_is_never_run():
     line = WaitingLine()
     line.hold(1, held(0, 1.0), b"a", 1)
