Take in settings that change while a daemon runs

Cause: a pass-through daemon noted SIGHUP and took its file at the next start only; a change without a signal went unseen.

Limits, intervals, times and the log's level are put into force; addresses and the service wait for the next start and are named in the log. A file that can't be used changes nothing and its field is named.

Measured: `pytest tests/test_shirakaba_processes.py -k settings_that`, a real process, passes; it failed first, as a file that changed between the start's reading and the first look was not noticed (now the first look reads again).

Ruled out on the way: an agent that doesn't know its endpoint's slots yet and takes them for 2, 4 or 8 instead of 1.

--- a/packages/cornelspan-common/src/cornelspan_common/logs.py
+++ b/packages/cornelspan-common/src/cornelspan_common/logs.py
@@ -36,6 +36,10 @@
     handler.setFormatter(
         JsonFormatter(FIELDS, rename_fields=RENAMED, static_fields={"process": process})
     )
-    root = logging.getLogger()
-    root.handlers = [handler]
-    root.setLevel(settings.level)
+    logging.getLogger().handlers = [handler]
+    set_level(settings)
+
+
+def set_level(settings: LogSettings) -> None:
+    """Log from the settings' level on."""
+    logging.getLogger().setLevel(settings.level)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from cornelspan_common.expiring import Expiring
-from cornelspan_common.logs import get_log
+from cornelspan_common.logs import get_log, set_level
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.datagrams import DatagramSocket
 from cornelspan_passthrough.delivering import (
@@ -96,6 +96,15 @@
         self.endpoint_address = socket_address(settings.endpoint)
         self.client_port = socket_address(settings.packets)[1]
 
+    def take_settings(self, settings: PassthroughAgentSettings) -> None:
+        """Take in settings that have changed."""
+        self.settings = settings
+        kept = settings.flow_seconds * RECORD_MARGIN
+        self.flows.flow_seconds = kept
+        self.directory.idle_seconds = kept
+        self.endpoint.report_seconds = settings.report_milliseconds / 1000
+        set_level(settings.log)
+
     # Datagrams of daemons
 
     def from_daemon(self, data: bytes, sender: str, now: float) -> None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cornelspan_common.learned import Learned
-from cornelspan_common.logs import get_log
+from cornelspan_common.logs import get_log, set_level
 from cornelspan_common.tokens import TokenBucket
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.configuration import RouteTable
@@ -83,6 +83,13 @@
         self.pulses = Pulses(self.settings.pulse.missed_pings)
         self.client_port = socket_address(self.settings.packets)[1]
 
+    def take_settings(self, settings: PassthroughBalancerSettings) -> None:
+        """Take in settings that have changed."""
+        self.settings = settings
+        self.pulses.missed_pings = settings.pulse.missed_pings
+        self.owners.limit = settings.learned_flows
+        set_level(settings.log)
+
     # Packets of clients
 
     def from_client(self, data: bytes, now: float) -> None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -22,6 +22,7 @@
 from cornelspan_passthrough.members import AGENT, Member
 from cornelspan_passthrough.metrics import agent_page
 from cornelspan_passthrough.pulses import DOWN
+from cornelspan_passthrough.reloading import Orders, follow_settings
 from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
 from cornelspan_passthrough.store import Backoff, OpenStore, PlatformStore
 
@@ -75,7 +76,7 @@
     codec: PacketCodec,
     open_store: OpenStore,
     read_call: ReadCall,
-    stop: asyncio.Event,
+    orders: Orders,
 ) -> None:
     """Run an agent until it is told to stop.
 
@@ -88,7 +89,7 @@
         codec: The packets' form.
         open_store: Returns the platform's store.
         read_call: What an endpoint's call means; None for one that is unknown.
-        stop: Set when the process shall stop.
+        orders: When to stop, and where the settings are.
     """
     with ExitStack() as sockets:
         agent = open_agent(settings, codec, sockets)
@@ -105,8 +106,11 @@
             store = await open_store()
             tasks.start(_stay_listed(agent, member, store), name="listing")
             tasks.start(_watch_endpoint(agent), name="endpoint")
+            tasks.start(
+                follow_settings(orders, settings, agent.take_settings), name="settings"
+            )
             log.info("started", extra={"address": settings.address})
-            await stop.wait()
+            await orders.stop.wait()
             await _leave(agent, store)
     log.info("stopped", extra={"address": settings.address})
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -23,6 +23,7 @@
 from cornelspan_passthrough.listing import list_member
 from cornelspan_passthrough.members import BALANCER, Member
 from cornelspan_passthrough.metrics import balancer_page
+from cornelspan_passthrough.reloading import Orders, follow_settings
 from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
 from cornelspan_passthrough.snapshots import SNAPSHOT_PATH, encode_snapshot
 from cornelspan_passthrough.store import (
@@ -52,7 +53,7 @@
     codec: PacketCodec,
     open_store: OpenStore,
     asks_readiness: ReadyPath,
-    stop: asyncio.Event,
+    orders: Orders,
 ) -> None:
     """Run a balancer until it is told to stop, then until routers have let go of it.
 
@@ -64,7 +65,7 @@
         codec: The packets' form.
         open_store: Returns the platform's store.
         asks_readiness: Whether a call asks for the balancer's readiness.
-        stop: Set when the process shall stop.
+        orders: When to stop, and where the settings are.
     """
     with ExitStack() as sockets:
         balancer = open_balancer(settings, codec, sockets)
@@ -97,8 +98,12 @@
                 name="greeting",
             )
             tasks.start(prune(balancer, store), name="pruning")
+            tasks.start(
+                follow_settings(orders, settings, balancer.take_settings),
+                name="settings",
+            )
             log.info("started", extra={"address": settings.address})
-            await stop.wait()
+            await orders.stop.wait()
             await _leave(balancer)
     log.info("stopped", extra={"address": settings.address})
 
@@ -153,10 +158,10 @@
 
 async def _ping(balancer: Balancer) -> None:
     """Ask all agents and tell all balancers, spread over the interval."""
-    pulse = balancer.settings.pulse
     suspensions = Suspensions()
     loop_time = asyncio.get_running_loop().time
     while True:
+        pulse = balancer.settings.pulse
         addresses = _others(balancer)
         least = pulse.interval_milliseconds / 1000
         interval = max(least, len(addresses) / pulse.pings_per_second)
--- a/tests/test_shirakaba_processes.py
+++ b/tests/test_shirakaba_processes.py
@@ -236,6 +236,36 @@
     assert await balancer.wait() == 0
 
 
+async def test_settings_that_change_are_taken_in_without_a_restart(deployment):
+    """The operator's new file is in force without a stop; a bad one changes nothing.
+
+    The file is written anew without a signal, then again with a mistake and SIGHUP.
+    What a running process can't change is named in its log.
+    """
+    here = deployment
+    await here.start("balancer", "127.0.2.1", metrics_port=None)
+    process = here.processes["127.0.2.1"]
+    file = here.folder / "127.0.2.1.json"
+
+    async def line_of(event):
+        async with asyncio.timeout(SETTLE_SECONDS):
+            while True:
+                line = json.loads(await process.stdout.readline())
+                if line["message"] == event:
+                    return line
+
+    await line_of("started")
+    file.write_text(json.dumps(here.settings("127.0.2.1", learned_flows=7, name="x")))
+    line = await line_of("settings reloaded")
+    assert line["in_force"] == ["learned_flows"]
+    assert line["at_next_start"] == ["name"]
+    file.write_text('{"name": 3}')
+    process.send_signal(signal.SIGHUP)
+    line = await line_of("settings refused")
+    assert "$.name" in line["reason"]
+    assert process.returncode is None
+
+
 async def test_a_bad_report_is_refused_with_its_reason(deployment):
     here = deployment
     await here.start_agent("127.0.1.1", "orders")
