--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from ipaddress import IPv4Address
 from itertools import count
+from typing import TypeVar
 
 from cornelspan_passthrough.agent import Agent
 from cornelspan_passthrough.balancer import Balancer
@@ -50,6 +51,7 @@
 REPORT_SECONDS = 0.8
 
 Address = tuple[str, int]
+Daemon = TypeVar("Daemon", Balancer, Agent)
 Lost = Callable[[Address, Address, bytes], bool]
 
 
@@ -70,7 +72,8 @@
 class PacketWorld:
     """Daemons, endpoints and clients by address, and the datagrams between them.
 
-    ``report_capacity`` is the most slots that an endpoint reports.
+    ``report_capacity`` is the most slots that an endpoint reports. VMs in
+    ``frozen_until`` stand still until that time.
     """
 
     seed: int
@@ -84,6 +87,7 @@
     sequences: dict[str, int] = field(default_factory=dict)
     routers: PacketRouters = field(default_factory=PacketRouters)
     report_capacity: int = 2
+    frozen_until: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.chance = random.Random(self.seed)
@@ -118,7 +122,19 @@
         if not self.lost(source, target, data):
             self.after(DELAY_SECONDS, lambda: self._arrive(source, target, data))
 
+    def freeze(self, address: str, seconds: float) -> None:
+        """Have a VM stand still; what is sent to it waits in its sockets."""
+        self.frozen_until[address] = self.now + seconds
+
+    def is_frozen(self, address: str) -> bool:
+        """Whether a VM stands still now."""
+        return self.now < self.frozen_until.get(address, 0.0)
+
     def _arrive(self, source: Address, target: Address, data: bytes) -> None:
+        if self.is_frozen(target[0]):
+            waits = self.frozen_until[target[0]] - self.now
+            self.after(waits, lambda: self._arrive(source, target, data))
+            return
         handler = self.handlers.get(target)
         if handler is not None:
             handler(data, source[0])
@@ -274,15 +290,21 @@
 
     # What goes on by itself
 
+    def _awake(self, daemons: dict[str, Daemon]) -> list[Daemon]:
+        """Return the daemons whose VMs don't stand still."""
+        return [
+            daemon for address, daemon in daemons.items() if not self.is_frozen(address)
+        ]
+
     def _tick(self) -> None:
-        for balancer in self.balancers.values():
+        for balancer in self._awake(self.balancers):
             balancer.tick(self.now)
-        for agent in self.agents.values():
+        for agent in self._awake(self.agents):
             release(agent, self.now)
         self.after(TICK_SECONDS, self._tick)
 
     def _ping(self) -> None:
-        for balancer in self.balancers.values():
+        for balancer in self._awake(self.balancers):
             for member in balancer.members.agents():
                 balancer.ping_agent(member.address, self.now)
         self.after(PING_SECONDS, self._ping)
@@ -290,13 +312,15 @@
     def _probe(self) -> None:
         self.routers.probe(
             lambda address: (
-                address in self.balancers and self.balancers[address].is_ready()
+                address in self.balancers
+                and not self.is_frozen(address)
+                and self.balancers[address].is_ready()
             )
         )
         self.after(PROBE_SECONDS, self._probe)
 
     def _ping_newcomers(self) -> None:
-        for balancer in self.balancers.values():
+        for balancer in self._awake(self.balancers):
             agents = [member.address for member in balancer.members.agents()]
             for address in balancer.pulses.newcomers(agents):
                 balancer.ping_agent(address, self.now)
@@ -305,7 +329,7 @@
     def _report(self) -> None:
         for address, endpoint in self.endpoints.items():
             agent = self.agents.get(address)
-            if agent is None or not endpoint.alive:
+            if agent is None or not endpoint.alive or self.is_frozen(address):
                 continue
             sequence = self.sequences.get(address, 0) + 1
             self.sequences[address] = sequence
