Spread stand-in routers' flows by a hash that mixes

Cause: flows were numbered so that all of them met the same balancer of an even rotation; a test of a cut balancer had no flow over it and caught nothing.

Change: a hash of the flow's text, modulo the rotation.

Measured: tests/test_passthrough_faults.py, 11 passed; without the rule that half of the agents must have answered, one of them now fails.

--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_routers.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_routers.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from cornelspan_common.hashing import flow_key
+
 PROBE_SECONDS = 0.5
 MISSES = 2
 
@@ -35,4 +37,4 @@
     def route(self, flow: int) -> str:
         """Return the balancer for a flow now."""
         rotation = self.rotation()
-        return rotation[hash(flow) % len(rotation)]
+        return rotation[flow_key(str(flow)) % len(rotation)]
