Pass over endpoints that fail what they are sent

Change: the agent judges its endpoint by heads: a flow ended without an answer, or a request lost. After three in a row it says so to the balancers, which pass the endpoint over unless more than a third of the service is judged so. It is tried again by one request after a second, then two and so on. The judgement is the HTTP side's own, moved to cornelspan_common.

--- a/packages/cornelspan-requests/src/cornelspan_requests/ejection.py
+++ b/packages/cornelspan-common/src/cornelspan_common/ejection.py
@@ -8,14 +8,28 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
-from statistics import median
+from typing import Annotated
 
-from cornelspan_control.profiles import EjectionPolicy
+from msgspec import Meta
+
+from cornelspan_common.settings import Checked, Duration, Share
 
 LONGEST_DOUBLING = 5
 FORGIVEN_SECONDS = 300.0
 
 
+class EjectionPolicy(Checked, frozen=True, kw_only=True):
+    """When an endpoint gets no new work for a while, and how many may be out at once.
+
+    ``slow_ratio`` compares an endpoint's latency with its group's median.
+    """
+
+    failures: Annotated[int, Meta(ge=1, le=1000)] = 5
+    slow_ratio: Annotated[float, Meta(ge=1, le=100)] = 4.0
+    seconds: Duration = 10.0
+    share_limit: Share = 0.34
+
+
 class Standing(Enum):
     """How an endpoint stands."""
 
@@ -85,6 +99,10 @@
         room: bool,
     ) -> bool:
         """Eject an endpoint that is much slower than the median of its peers."""
+        # Only the HTTP side compares endpoints. Imported above, it would cost every
+        # pass-through daemon 0.4 MB for fractions and decimal numbers.
+        from statistics import median
+
         if self.ejected or not room or not others:
             return False
         if own <= policy.slow_ratio * median(others):
--- a/packages/cornelspan-common/src/cornelspan_common/settings.py
+++ b/packages/cornelspan-common/src/cornelspan_common/settings.py
@@ -21,6 +21,8 @@
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
+Duration = Annotated[float, Meta(ge=0, le=86400)]
+Share = Annotated[float, Meta(ge=0, le=1)]
 SettingsType = TypeVar("SettingsType", bound="Checked")
 
 PATH_IN_MESSAGE = re.compile(r"^(?P<reason>.*) - at `(?P<path>\$[^`]*)`$", re.DOTALL)
--- a/packages/cornelspan-control/src/cornelspan_control/profiles.py
+++ b/packages/cornelspan-control/src/cornelspan_control/profiles.py
@@ -9,10 +9,9 @@
 
 from msgspec import Meta
 
-from cornelspan_common.settings import Checked, Name
+from cornelspan_common.ejection import EjectionPolicy
+from cornelspan_common.settings import Checked, Duration, Name, Share
 
-Share = Annotated[float, Meta(ge=0, le=1)]
-Duration = Annotated[float, Meta(ge=0, le=86400)]
 Size = Annotated[int, Meta(ge=1, le=67108864)]
 
 
@@ -44,18 +43,6 @@
     backoff_limit_seconds: Duration = 1.0
 
 
-class EjectionPolicy(Checked, frozen=True, kw_only=True):
-    """When an endpoint gets no new work for a while, and how many may be out at once.
-
-    ``slow_ratio`` compares an endpoint's latency with its group's median.
-    """
-
-    failures: Annotated[int, Meta(ge=1, le=1000)] = 5
-    slow_ratio: Annotated[float, Meta(ge=1, le=100)] = 4.0
-    seconds: Duration = 10.0
-    share_limit: Share = 0.34
-
-
 class Objective(Checked, frozen=True, kw_only=True):
     """Service-level objective: the share of requests to be good over a window.
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cornelspan_common.ejection import Judgement
 from cornelspan_common.expiring import Expiring
 from cornelspan_common.logs import get_log, set_level
 from cornelspan_passthrough import hops
@@ -35,6 +36,7 @@
     flow_text,
 )
 from cornelspan_passthrough.histograms import Histogram
+from cornelspan_passthrough.judging import is_ejected, judge_packet, probe_refusal
 from cornelspan_passthrough.members import service_tag
 from cornelspan_passthrough.pulses import DOWN, DRAINING, READY, Ping, Pong
 from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
@@ -87,6 +89,7 @@
         self.flows = FlowTable(kept)
         self.directory: Expiring[int] = Expiring(idle_seconds=kept)
         self.waiting = WaitingLine()
+        self.judgement = Judgement()
         self.waiting_times = Histogram()
         self.endpoint = Endpoint(
             settings.service, settings.report_milliseconds / 1000, self.started_at
@@ -165,9 +168,9 @@
             return hops.ENDPOINT_LEAVES
         if self.endpoint.state == DOWN or self.stopping:
             return hops.ENDPOINT_DOWN
-        if not hop.is_final and self._is_busy(now):
-            return hops.ENDPOINT_BUSY
-        return 0
+        if hop.is_final:
+            return 0
+        return hops.ENDPOINT_BUSY if self._is_busy(now) else probe_refusal(self, now)
 
     def _is_busy(self, now: float) -> bool:
         """Whether new flows should rather go elsewhere.
@@ -223,6 +226,7 @@
             self.flows.running + len(self.waiting),
             self.flows.open_flows,
             endpoint.cold_milliseconds(now),
+            is_ejected(self, now),
         )
         return bytes((hops.PONG,)) + msgspec.msgpack.encode(pong)
 
@@ -245,6 +249,7 @@
         if head.flags & SYN:
             self._taken(head.flow, owned)
             return
+        judge_packet(self, owned, head, now)
         self.flows.answered(head.flow, owned, head.length, now)
         if head.flags & (FIN | RST):
             self.flows.end(head.flow, owned)
@@ -317,11 +322,12 @@
         begins = self.endpoint.report(report, now)
         if (self.endpoint.life, self.endpoint.state) != was:
             self._log_endpoint("endpoint reported")
-            self._tell_balancers(now)
+            self.tell_balancers(now)
         if begins:
+            self.judgement = Judgement()
             self._end_flows("endpoint restarted")
 
-    def _tell_balancers(self, now: float) -> None:
+    def tell_balancers(self, now: float) -> None:
         """Tell the balancers of a change without being asked.
 
         Their next ping may be a few hundred milliseconds away: so long would a new
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
@@ -6,6 +6,7 @@
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.flows import NO_REQUEST, OwnedFlow, is_repeat
 from cornelspan_passthrough.heads import RST, Head, address_text, flow_text
+from cornelspan_passthrough.judging import judge_lost_requests
 from cornelspan_passthrough.pulses import DOWN
 from cornelspan_passthrough.urgency import times
 from cornelspan_passthrough.waiting import Held
@@ -44,7 +45,7 @@
         if agent.waiting.holds(head.flow):
             agent.waiting.add(head.flow, packet, head.sequence)
             return
-        agent.flows.forget_lost_requests(now)
+        judge_lost_requests(agent, now)
         if agent.flows.running >= room(agent):
             is_first = owned.sent_up_to is None
             until = times(owned.urgency, now, is_first=is_first)
@@ -85,7 +86,7 @@
     """Hand over requests that wait, as far as there is room."""
     if not agent.waiting:
         return
-    agent.flows.forget_lost_requests(now)
+    judge_lost_requests(agent, now)
     while agent.flows.running < room(agent):
         for expired in agent.waiting.forget_expired(now):
             extra = {"flow": flow_text(expired), "reason": "time budget spent"}
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
@@ -221,7 +221,7 @@
     route = balancer.routes.route(note.flow)
     if opening is None or route is None or opening.owner != sender:
         return
-    if note.detail == hops.ENDPOINT_BUSY:
+    if note.detail in (hops.ENDPOINT_BUSY, hops.ENDPOINT_PROBED):
         opening.busy.add(sender)
     else:
         opening.refused.add(sender)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -157,14 +157,22 @@
         owned.request_at = NO_REQUEST
         self.requests.pop(flow, None)
 
-    def forget_lost_requests(self, now: float) -> None:
-        """Forget requests that have run for so long that they are taken for lost."""
+    def forget_lost_requests(self, now: float) -> int:
+        """Forget requests that have run for so long that they are taken for lost.
+
+        Returns:
+            How many of them this process has seen begin.
+        """
         usual = LOST_REQUEST_PACES * self.pace_seconds
         limit = max(LOST_REQUEST_SECONDS, usual)
+        lost = 0
         for flow, began_at in list(self.requests.items()):
             if now - began_at <= limit:
-                return
-            self.end_request(flow, self.by_flow[flow])
+                break
+            owned = self.by_flow[flow]
+            lost += not owned.is_learned
+            self.end_request(flow, owned)
+        return lost
 
     def remove(self, flow: int) -> OwnedFlow | None:
         """Forget a flow and return it."""
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
@@ -135,10 +135,12 @@
 ENDPOINT_DOWN = 3
 ENDPOINT_FULL = 4
 ENDPOINT_BUSY = 5
+ENDPOINT_PROBED = 6
 REASONS = {
     FOREIGN_SERVICE: "foreign service",
     ENDPOINT_LEAVES: "endpoint leaves",
     ENDPOINT_DOWN: "endpoint down",
     ENDPOINT_FULL: "endpoint full",
     ENDPOINT_BUSY: "endpoint busy",
+    ENDPOINT_PROBED: "endpoint is tried with one request",
 }
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/judging.py
@@ -0,0 +1,92 @@
+"""Judges an agent's endpoint by what came of its requests.
+
+The load pattern it answers: an endpoint whose health check is good while it resets or
+swallows what it is sent. Idle by its own failures, it looks like the least loaded and
+draws new flows from all that are sound.
+
+Only heads are read, so a failure is a flow that the endpoint ends without an answer, or
+a request that it has had for much longer than usual.
+"""
+
+from typing import TYPE_CHECKING
+
+from cornelspan_common.ejection import Standing
+from cornelspan_common.logs import get_log
+from cornelspan_passthrough import hops
+from cornelspan_passthrough.flows import NO_REQUEST, OwnedFlow
+from cornelspan_passthrough.heads import FIN, RST, Head
+
+if TYPE_CHECKING:
+    from cornelspan_passthrough.agent import Agent
+
+log = get_log(__name__)
+
+
+def judge_packet(agent: "Agent", owned: OwnedFlow, head: Head, now: float) -> None:
+    """Take in a packet of the endpoint, before the flow's request is ended by it.
+
+    Flows that opened before this process started are left out: what they run is not
+    known, and their clients may have gone.
+    """
+    if owned.request_at == NO_REQUEST or owned.is_learned:
+        return
+    if head.length:
+        judge(agent, 1, now, succeeded=True)
+    elif head.flags & (FIN | RST):
+        judge(agent, 1, now, succeeded=False)
+
+
+def judge_lost_requests(agent: "Agent", now: float) -> None:
+    """Forget requests that seem to be lost, and hold them against the endpoint."""
+    lost = agent.flows.forget_lost_requests(now)
+    if lost:
+        judge(agent, lost, now, succeeded=False)
+
+
+def judge(agent: "Agent", count: int, now: float, *, succeeded: bool) -> None:
+    """Count outcomes of requests, and tell all balancers when they change the standing.
+
+    Balancers pass over an endpoint that is out, but not when too many are: the limit is
+    theirs, as an agent doesn't know the others.
+    """
+    judgement = agent.judgement
+    was = judgement.standing(now)
+    for _ in range(count):
+        if succeeded:
+            judgement.succeed(now)
+        else:
+            judgement.fail(agent.settings.ejection, now, room=True)
+    stands = judgement.standing(now)
+    if stands is was:
+        return
+    extra = {
+        "life": agent.endpoint.life,
+        "was": was.value,
+        "stands": stands.value,
+        "for_ms": max(0, round((judgement.ejected_until - now) * 1000)),
+        "ejections": judgement.ejections,
+    }
+    log.info("endpoint's standing changed", extra=extra)
+    agent.counts["standing_changes"] += 1
+    agent.tell_balancers(now)
+
+
+def is_ejected(agent: "Agent", now: float) -> bool:
+    """Whether new flows should go elsewhere."""
+    return agent.judgement.standing(now) is Standing.OUT
+
+
+def probe_refusal(agent: "Agent", now: float) -> int:
+    """Return why an endpoint that is tried again takes no further flow; 0 if it does.
+
+    One request at a time shows whether it has recovered. More would be lost with it:
+    it is idle, so every balancer sends it what has just come.
+    """
+    if agent.judgement.standing(now) is not Standing.PROBING:
+        return 0
+    probes = agent.flows.running + agent.flows.opened_since(now - PROBE_SECONDS)
+    return hops.ENDPOINT_PROBED if probes else 0
+
+
+# A probe's first request follows its first packet after a round trip to the client.
+PROBE_SECONDS = 0.05
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/placing.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/placing.py
@@ -23,6 +23,9 @@
 # is left. An empty one that is about to start is the least loaded of all and would be
 # tried for each new flow, a few milliseconds each.
 REFUSED_SECONDS = 0.25
+# If more endpoints of a service than this are said to fail, they share a cause that
+# placing can't avoid, and the rest could not carry their load.
+EJECTED_SHARE = 0.34
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,11 +47,13 @@
     """
     best = ""
     best_cost = (False, 0.0, 0.0)
+    candidates = [each for each in candidates if takes_flows(each.pulse)]
+    ejected = sum(1 for each in candidates if is_ejected(each.pulse))
+    passes_over = ejected <= EJECTED_SHARE * len(candidates)
     for candidate in candidates:
-        if not takes_flows(candidate.pulse):
-            continue
         pulse = candidate.pulse
-        found = (pulse.refused_until > now, cost(pulse), chance.random())
+        is_last = pulse.refused_until > now or (passes_over and is_ejected(pulse))
+        found = (is_last, cost(pulse), chance.random())
         if not best or found < best_cost:
             best = candidate.address
             best_cost = found
@@ -65,6 +70,11 @@
     return pulse.pong is None or pulse.pong.state not in (DRAINING, DOWN)
 
 
+def is_ejected(pulse: Pulse) -> bool:
+    """Whether an endpoint fails what it is sent, as its agent has last said."""
+    return pulse.pong is not None and pulse.pong.is_ejected
+
+
 def cost(pulse: Pulse) -> float:
     """Return how long a new request would wait at an endpoint, in its own paces."""
     pong = pulse.pong
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
@@ -33,7 +33,8 @@
 
     ``state`` is that of its endpoint, of this module. ``running`` counts requests that
     the endpoint works on or queues, ``flows`` open flows, ``capacity`` slots.
-    ``cold_milliseconds`` tells how much longer the endpoint is slow after its start.
+    ``cold_milliseconds`` tells how much longer the endpoint is slow after its start,
+    ``is_ejected`` that it fails what it is sent, whatever it reports.
     """
 
     address: str
@@ -44,6 +45,7 @@
     running: int
     flows: int
     cold_milliseconds: int
+    is_ejected: bool = False
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/reloading.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/reloading.py
@@ -23,6 +23,7 @@
 LOOK_SECONDS = 2.0
 LIVE_FIELDS = frozenset(
     {
+        "ejection",
         "flow_seconds",
         "grace_seconds",
         "learned_flows",
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/settings.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/settings.py
@@ -4,6 +4,7 @@
 
 from msgspec import Meta
 
+from cornelspan_common.ejection import EjectionPolicy
 from cornelspan_common.settings import Checked, LogSettings, Port
 
 Milliseconds = Annotated[int, Meta(ge=1, le=600_000)]
@@ -74,6 +75,11 @@
 
     The endpoint takes packets at ``endpoint``, sends its own to ``outbound``, and
     reports to ``reports`` about every ``report_milliseconds``.
+
+    ``ejection`` says when the endpoint gets no new flow, whatever it reports: after
+    three failures in a row, which a sound one shows once in a million requests if one
+    in a hundred fails. A second, then two and so on, is a few times what it takes to
+    try again with one request.
     """
 
     service: VmName
@@ -81,6 +87,7 @@
     outbound: SocketText
     reports: SocketText
     report_milliseconds: Milliseconds
+    ejection: EjectionPolicy = EjectionPolicy(failures=3, seconds=1.0)
 
 
 def socket_address(text: str) -> tuple[str, int]:
--- a/packages/cornelspan-requests/src/cornelspan_requests/dispatch.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/dispatch.py
@@ -13,6 +13,7 @@
 from msgspec import structs
 from result import Err, Ok, Result
 
+from cornelspan_common.ejection import Standing
 from cornelspan_common.packets import Message
 from cornelspan_control.profiles import Profile
 from cornelspan_ownership.placement import (
@@ -24,7 +25,6 @@
 )
 from cornelspan_requests.admission import LEAST_RETRY_AFTER
 from cornelspan_requests.backend import AnswerSink
-from cornelspan_requests.ejection import Standing
 from cornelspan_requests.endpoint import Endpoint
 from cornelspan_requests.exchange import Request
 from cornelspan_requests.handoff import Handoffs
--- a/packages/cornelspan-requests/src/cornelspan_requests/endpoint.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/endpoint.py
@@ -12,6 +12,7 @@
 
 from result import Err, Ok, Result
 
+from cornelspan_common.ejection import Judgement, Standing, has_room, must_return
 from cornelspan_common.logs import get_log
 from cornelspan_common.ownership import Load
 from cornelspan_common.settings import Address
@@ -19,7 +20,6 @@
 from cornelspan_ownership.placement import UNMEASURED
 from cornelspan_requests.admission import LEAST_RETRY_AFTER, Admission, Given
 from cornelspan_requests.backend import AnswerSink, call
-from cornelspan_requests.ejection import Judgement, Standing, has_room, must_return
 from cornelspan_requests.exchange import Request
 from cornelspan_requests.outcomes import Outcome, Reason, Refusal
 from cornelspan_requests.queue import Ticket
--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment.py
@@ -13,6 +13,9 @@
 from dataclasses import dataclass
 from ipaddress import IPv4Address
 
+import msgspec
+
+from cornelspan_common.ejection import EjectionPolicy
 from cornelspan_passthrough.configuration import Configuration, Route, Share
 from cornelspan_passthrough.heads import route_number
 from cornelspan_standins.experiment_callers import Asked, Callers
@@ -31,6 +34,7 @@
 
 FIRST_PORT = 443
 IDLE_MILLISECONDS = 15_000
+NEVER = EjectionPolicy(failures=1000)
 
 
 @dataclass(frozen=True)
@@ -118,6 +122,8 @@
         agent.waiting.order = ORDERS[policy.order]
         has_line = policy.order != "none"
         agent.queued_requests = policy.queued_requests if has_line else NO_LINE
+        if not policy.ejects:
+            agent.settings = msgspec.structs.replace(agent.settings, ejection=NEVER)
 
     def _work(self, address: str, data: bytes) -> float:
         """Return how long a request takes, the same at each try."""
@@ -161,6 +167,8 @@
                 self._restart_daemons(fault.lasts)
             case "crash":
                 self._crash(self._some(fault.share), fault.lasts)
+            case "reset" | "mute":
+                self._spoil(fault)
             case "burst":
                 self.rate = self.plan.load * fault.factor
                 self.world.after(fault.lasts, self._end_burst)
@@ -168,6 +176,14 @@
                 self.slow = dict.fromkeys(self._some(fault.share), fault.factor)
                 self.world.after(fault.lasts, self.slow.clear)
 
+    def _spoil(self, fault: FaultPlan) -> None:
+        """Have some endpoints fail all requests for a while."""
+        for address in self._some(fault.share):
+            endpoint = self.world.endpoints[address]
+            endpoint.resets = fault.kind == "reset"
+            endpoint.mute = NO_LINE if fault.kind == "mute" else 0
+            self.world.after(fault.lasts, endpoint.heal)
+
     def _end_burst(self) -> None:
         self.rate = self.plan.load
 
--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
@@ -65,10 +65,11 @@
 
     ``power`` takes all VMs, ``daemons`` only the system's processes. ``burst`` and
     ``slow`` multiply by ``factor``: the arrivals, and the work of ``share`` of the
-    endpoints. ``crash`` ends ``share`` of the endpoints.
+    endpoints. ``crash`` ends ``share`` of the endpoints; with ``reset`` they end each
+    request's flow, with ``mute`` they never answer, and report to be well.
     """
 
-    kind: Literal["power", "daemons", "burst", "slow", "crash"]
+    kind: Literal["power", "daemons", "burst", "slow", "crash", "reset", "mute"]
     at: Seconds
     lasts: Seconds
     factor: Factor = 2.0
@@ -79,12 +80,14 @@
     """How the daemons decide; the defaults are the product's.
 
     ``order`` is that of the line before a full endpoint, ``none`` for no line.
-    ``queued_requests`` may be at an endpoint beyond its slots.
+    ``queued_requests`` may be at an endpoint beyond its slots. ``ejects`` passes over
+    endpoints that fail what they are sent.
     """
 
     order: OrderName = "on-time"
     placing: PlacingName = "product"
     queued_requests: Annotated[int, Meta(ge=0, le=1000)] = 1
+    ejects: bool = True
 
 
 class ExperimentPlan(Checked, frozen=True, kw_only=True):
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
@@ -118,6 +118,7 @@
     queued: list[tuple[tuple[int, int], WirePacket]] = field(default_factory=list)
     shed: int = 0
     mute: int = 0
+    resets: bool = False
     opened: int = 0
     bounced: int = 0
     life: int = 0
@@ -154,6 +155,11 @@
         self.queued.clear()
         self.running = 0
 
+    def heal(self) -> None:
+        """Serve what it is sent again."""
+        self.resets = False
+        self.mute = 0
+
     def start(self, cold_until: float) -> None:
         """Start anew, slow until a time."""
         self.alive = True
@@ -188,8 +194,13 @@
     def _take(self, key: tuple[int, int], packet: WirePacket) -> None:
         """Work on a request, queue it, or shed it.
 
-        ``mute`` counts requests that it forgets at once.
+        ``mute`` counts requests that it forgets at once. With ``resets`` it ends each
+        request's flow instead of answering.
         """
+        if self.resets:
+            self.flows.pop(key)
+            self.send(encode(answer_to(packet, packets.WIRE_RST, 0, b"")))
+            return
         if self.mute:
             self.mute -= 1
             return
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -3,8 +3,14 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from cornelspan_control.profiles import EjectionPolicy, RetryPolicy
-from cornelspan_requests.ejection import Judgement, Standing, has_room, must_return
+from cornelspan_common.ejection import (
+    EjectionPolicy,
+    Judgement,
+    Standing,
+    has_room,
+    must_return,
+)
+from cornelspan_control.profiles import RetryPolicy
 from cornelspan_requests.outcomes import Outcome, Reason, Refusal
 from cornelspan_requests.retries import RetryBudget, is_repeatable, pause_before
 from cornelspan_requests.slowstart import SlowStart
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -6,7 +6,8 @@
 from msgspec.structs import replace
 from tornado.iostream import StreamClosedError
 
-from cornelspan_control.profiles import EjectionPolicy, RequestPolicy
+from cornelspan_common.ejection import EjectionPolicy
+from cornelspan_control.profiles import RequestPolicy
 from http_fakes import WARM, Caller, fake_server, running_group
 
 SERVICE_SECONDS = 0.02
