Let flows of a new life be when its first report comes; add the fault soak

Cause: an endpoint that crashed and was back within a report's interval took new flows before its first report. By that report the agent learned that a new life had begun, and reset all flows, also those that the living endpoint held.

Change: by such a report only flows that began before the old life's last report are reset. What began after it may be of either life, and the endpoint sends back the next packet of a flow that it doesn't hold.

--- a/packages/cornelspan-cli/src/cornelspan_cli/main.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/main.py
@@ -13,6 +13,7 @@
 from cornelspan_cli.report import ReportCommand
 from cornelspan_cli.scenario import ScenarioCommand
 from cornelspan_cli.services import ServiceCommand
+from cornelspan_cli.soak import SoakCommand
 from cornelspan_cli.status import StatusCommand
 
 
@@ -31,6 +32,7 @@
         | Bench
         | ExperimentCommand
         | ScenarioCommand
+        | SoakCommand
     ]
 
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -320,13 +320,14 @@
     def report(self, report: Report, now: float) -> None:
         """Take in a report of the endpoint."""
         was = (self.endpoint.life, self.endpoint.state)
+        heard_at = self.endpoint.reported_at
         begins = self.endpoint.report(report, now)
         if (self.endpoint.life, self.endpoint.state) != was:
             self._log_endpoint("endpoint reported")
             self.tell_balancers(now)
         if begins:
             self.judgement = Judgement()
-            self._end_flows("endpoint restarted")
+            self._end_flows("endpoint restarted", before=heard_at)
 
     def tell_balancers(self, now: float) -> None:
         """Tell the balancers of a change without being asked.
@@ -349,10 +350,23 @@
         self._log_endpoint("endpoint down")
         self._end_flows("endpoint down")
 
-    def _end_flows(self, reason: str) -> None:
-        """Reset the flows of an endpoint's life that has ended."""
-        for flow, owned in self.flows.clear():
-            if not owned.ended:
+    def _end_flows(self, reason: str, *, before: float | None = None) -> None:
+        """Reset the flows of an endpoint's life that has ended.
+
+        Args:
+            reason: For the log.
+            before: Only flows that began before this time. A new life may take flows
+                before its first report; reset with those of the old one, they would
+                break while their endpoint lives. What began after the old life's last
+                report may be of either. The endpoint itself tells: it sends back the
+                next packet of a flow that it doesn't hold.
+        """
+        for flow, owned in self.flows.all():
+            if before is not None and owned.started_at >= before:
+                continue
+            if owned.ended:
+                self.flows.remove(flow)
+            else:
                 self._end_dead_flow(flow, owned, reason)
 
     def _log_endpoint(self, event: str) -> None:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -44,6 +44,7 @@
 
     origin: str
     homes: tuple[int, int]
+    started_at: float
     used_at: float
     urgency: Urgency = UNKNOWN
     answered: bool = False
@@ -101,7 +102,7 @@
         self.remove(flow)
         if len(self.by_flow) >= LIMIT:
             self.remove(next(iter(self.by_flow)))
-        owned = OwnedFlow(origin, homes, now)
+        owned = OwnedFlow(origin, homes, now, now)
         self.by_flow[flow] = owned
         self.starts.append(now)
         return owned
@@ -181,13 +182,9 @@
             self.end(flow, owned)
         return owned
 
-    def clear(self) -> list[tuple[int, OwnedFlow]]:
-        """Forget all flows and return them."""
-        flows = list(self.by_flow.items())
-        self.by_flow = {}
-        self.requests = {}
-        self.open_flows = 0
-        return flows
+    def all(self) -> list[tuple[int, OwnedFlow]]:
+        """Return all flows."""
+        return list(self.by_flow.items())
 
     def sweep(self, now: float) -> None:
         """Forget flows that have ended, or are too old to be spoken of."""
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
@@ -273,6 +273,8 @@
     peer_sequence: int | None = None
     sent_number: int = 0
     answered_number: int = 0
+    last_asked: bytes = b""
+    last_answer: bytes = b""
 
     def open(self) -> None:
         """Send the first packet, and its copies while nobody answers."""
@@ -285,6 +287,7 @@
     def request(self, data: bytes = b"request") -> None:
         """Send a request on the open flow, again and again until it is answered."""
         self.sent_number += 1
+        self.last_asked = data
         self._send_request(self.sent_number, data, FIRST_RETRANSMIT_SECONDS)
 
     def abandon(self) -> None:
@@ -308,13 +311,20 @@
             self._tell("reset" if "open" in self.events else "refused")
         elif packet.flags & packets.WIRE_SYN:
             self._opened(packet)
-        elif packet.data and self.answered_number < self.sent_number:
+        elif packet.data and self._is_awaited(packet):
             self.answered_number = self.sent_number
+            self.last_answer = packet.data
             self._confirm()
             self._tell("shed" if packet.data.startswith(SHED) else "answer")
         elif packet.data:
             self._confirm()
 
+    def _is_awaited(self, packet: WirePacket) -> bool:
+        """Whether a packet answers the last request, not an earlier one again."""
+        sequence = self.initial + self.sent_number * REQUEST_STEP
+        is_last = packet.acknowledged == sequence + len(self.last_asked)
+        return is_last and self.answered_number < self.sent_number
+
     def _opened(self, packet: WirePacket) -> None:
         if self.peer_sequence is not None:
             return
--- a/tests/test_passthrough_dead_flows.py
+++ b/tests/test_passthrough_dead_flows.py
@@ -125,6 +125,31 @@
     assert "reset" not in client.events
 
 
+def test_a_flow_that_opened_before_the_first_report_of_a_new_life_lives_on(world):
+    """The caller's flow goes on at an endpoint that has just started.
+
+    The endpoint crashes and is back at once. A flow opens there before its first
+    report, by which the agent learns that a new life has begun. Flows of the old life
+    are reset by that; this one belongs to the new life.
+    """
+    for address in ORDERS[1:]:
+        world.endpoints[address].accepts = False
+    world.run(1.0)
+    old = world.open_flow(over=BALANCERS[0])
+    world.run(1.0)
+    endpoint = world.endpoints[ORDERS[0]]
+    endpoint.crash()
+    endpoint.start(cold_until=0.0)
+    new = world.open_flow(over=BALANCERS[0])
+    world.run(0.05)
+    assert new.events == ["open", "answer"]
+    world.run(1.0)
+    new.request()
+    world.run(0.3)
+    assert new.events == ["open", "answer", "answer"]
+    assert old.events[-1] == "reset"
+
+
 def test_questions_of_a_crowd_of_dead_flows_are_spread(world):
     """Callers of dead flows are told one after the other, and the balancer stays up.
 
