Refuse no flow that may be open by now

Real clients heed only resets near what they have seen; the stand-in heeded any.

Change: a balancer without a configuration refuses nothing, as it is not in the rotation, and no balancer refuses a first packet older than the 1.4 s after which its client has given up. The stand-in client heeds resets of open flows within the platform's window only.

Also: `cornelspan soak` takes a block of ports that is held by a lock, and ends its processes when it is told to stop.

--- a/packages/cornelspan-cli/src/cornelspan_cli/soak.py
+++ b/packages/cornelspan-cli/src/cornelspan_cli/soak.py
@@ -33,7 +33,6 @@
     orders: Annotated[int, cappa.Arg(long=True, help="Endpoints of one service.")] = 4
     receipts: Annotated[int, cappa.Arg(long=True, help="Those of the other.")] = 2
     per_second: Annotated[float, cappa.Arg(long=True, help="Requests.")] = 25.0
-    port: Annotated[int, cappa.Arg(long=True, help="First port on loopback.")] = 23400
     history: Annotated[
         Path, cappa.Arg(long=True, help="Where logs and histories of runs go.")
     ] = Path("out/soak")
@@ -42,6 +41,7 @@
         """Run all seeds and return the exit code."""
         try:
             from cornelspan_standins import soak
+            from cornelspan_standins.ports import port_block
             from cornelspan_standins.soak_plan import SoakPlan
         except ImportError:
             print(NOT_INSTALLED, file=sys.stderr)
@@ -56,15 +56,16 @@
                 "orders": self.orders,
                 "receipts": self.receipts,
                 "per_second": self.per_second,
-                "first_port": self.port,
             }
             try:
                 plan = msgspec.convert(values, SoakPlan)
             except msgspec.ValidationError as error:
                 print(f"cornelspan: {error}", file=sys.stderr)
                 return 2
-            folder = self.history / f"seed-{seed}"
-            result = asyncio.run(soak.run_soak(plan, folder))
+            with port_block() as port:
+                plan = msgspec.structs.replace(plan, first_port=port)
+                folder = self.history / f"seed-{seed}"
+                result = asyncio.run(soak.run_soak(plan, folder))
             soak.show_result(result, Console())
             is_whole = is_whole and not result.broken
         return 0 if is_whole else 1
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/first_packets.py
@@ -8,7 +8,7 @@
 from cornelspan_passthrough.configuration import Route, services_in_order
 from cornelspan_passthrough.heads import Head, flow_text
 from cornelspan_passthrough.members import service_tag
-from cornelspan_passthrough.openings import HELD_SECONDS, Opening
+from cornelspan_passthrough.openings import CLIENT_SECONDS, HELD_SECONDS, Opening
 from cornelspan_passthrough.placing import REFUSED_SECONDS, Candidate
 from cornelspan_passthrough.urgency import MILLISECONDS, Urgency
 
@@ -136,6 +136,16 @@
     return all(answered)
 
 
+def _is_over(opening: Opening, now: float) -> bool:
+    """Whether a client has opened its flow over another balancer, or given it up.
+
+    A copy of its first packet may have gone another way while this balancer held the
+    first one, above all if it stood still meanwhile or is not in the rotation. Told
+    that nobody takes the flow, the client would lose one that is open.
+    """
+    return now - opening.began_at > CLIENT_SECONDS
+
+
 def _members_come(balancer: "Balancer", now: float) -> bool:
     """Whether members have come or gone just now.
 
@@ -155,6 +165,8 @@
         route = balancer.routes.route(flow)
         if route is None or waited > HELD_SECONDS:
             opening.held = b""
+            if balancer.routes.configuration is None or _is_over(opening, now):
+                continue
             reason = "no agent answers" if route else "no route"
             _refuse(balancer, flow, reason, waited_ms=round(waited * 1000))
             continue
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/openings.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, field
 
-# A client gives up a flow 1.4 s after its first packet; what is older than this is
-# another flow on the same port.
+# A client gives up a flow this long after its first packet.
+CLIENT_SECONDS = 1.4
+# What is older than this is another flow on the same port.
 KEPT_SECONDS = 3.0
 LIMIT = 65_536
 # A first packet waits this long for an agent to answer. After a loss of power agents
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
@@ -18,6 +18,8 @@
 LAST_RETRANSMIT_SECONDS = 1.6
 # Sequence numbers from one request of a flow to the next, more than any of them has.
 REQUEST_STEP = 100
+# A client heeds a reset of an open flow within this many bytes of what it has seen.
+RESET_WINDOW = 76_800
 RAN = b"ran "
 SHED = b"shed "
 
@@ -308,7 +310,8 @@
         if self.is_over:
             return
         if packet.flags & packets.WIRE_RST:
-            self._tell("reset" if "open" in self.events else "refused")
+            if self._heeds(packet):
+                self._tell("reset" if "open" in self.events else "refused")
         elif packet.flags & packets.WIRE_SYN:
             self._opened(packet)
         elif packet.data and self._is_awaited(packet):
@@ -319,6 +322,12 @@
         elif packet.data:
             self._confirm()
 
+    def _heeds(self, packet: WirePacket) -> bool:
+        """Whether a reset is for this flow as it stands."""
+        if self.peer_sequence is None:
+            return True
+        return abs(packet.sequence - self.peer_sequence) <= RESET_WINDOW
+
     def _is_awaited(self, packet: WirePacket) -> bool:
         """Whether a packet answers the last request, not an earlier one again."""
         sequence = self.initial + self.sent_number * REQUEST_STEP
--- a/packages/cornelspan-standins/src/cornelspan_standins/soak.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak.py
@@ -379,7 +379,12 @@
 
 
 async def run_soak(plan: SoakPlan, folder: Path) -> SoakResult:
-    """Play a plan; logs and history of the run stay in the folder."""
+    """Play a plan; logs and history of the run stay in the folder.
+
+    Told to stop, it ends the processes that it has started before it goes.
+    """
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     folder.mkdir(parents=True, exist_ok=True)
     objects = PlatformObjects()
     faults = draw_faults(plan)
