Take no flow for dead before all agents are known and asked

Change: a flow is taken for dead only when the balancer has read a whole listing, or has it from a peer that has, and when every agent that is known by then has been asked; one that has come to be known since is asked first.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -74,6 +74,7 @@
     searches: Searches = field(default_factory=Searches)
     counts: Counter[str] = field(default_factory=Counter)
     by_service: dict[str, list[str]] = field(default_factory=dict)
+    agents: frozenset[str] = frozenset()
     heard_balancers: dict[str, float] = field(default_factory=dict)
     newest_version: int = 0
     newest_peer: str = ""
@@ -238,7 +239,8 @@
         """Work out anew what follows from the members."""
         self.members_changed_at = now
         agents = self.members.agents()
-        self.homes.replace([member.address for member in agents])
+        self.agents = frozenset(member.address for member in agents)
+        self.homes.replace(list(self.agents))
         self.by_service = {}
         for member in agents:
             self.by_service.setdefault(member.service, []).append(member.address)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/members.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/members.py
@@ -29,12 +29,14 @@
     """All known daemons by address.
 
     ``revision`` is the store's when the listing was read, 0 before the first. ``told``
-    holds those that spoke for themselves and are not listed (yet).
+    holds those that spoke for themselves and are not listed (yet). ``is_whole`` says
+    that a whole listing is known, from the store or from a peer that has read it.
     """
 
     listed: dict[str, Member] = field(default_factory=dict)
     told: dict[str, Member] = field(default_factory=dict)
     revision: int = 0
+    is_whole: bool = False
 
     def replace(self, members: list[Member], revision: int) -> bool:
         """Take in a whole listing; return False if a newer one is known."""
@@ -42,6 +44,7 @@
             return False
         self.listed = {member.address: member for member in members}
         self.revision = revision
+        self.is_whole = True
         self._forget_told()
         return True
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/searching.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/searching.py
@@ -213,10 +213,17 @@
 
     Its client would repeat packets until its time budget ends. Each agent has said
     so itself, or has been silent for so long that its VM serves nobody, so no flow
-    that could be served is met.
+    that could be served is met. A balancer that has started without the store may know
+    a single agent, whose no says nothing of the others.
     """
+    if not balancer.members.is_whole:
+        return
     if not search.is_exhausted(lambda address: balancer.pulses.is_lost(address, now)):
         return
+    if not balancer.agents <= search.asked:
+        # An agent has come to be known since; it has not been asked.
+        search.is_queued = True
+        return
     balancer.searches.end(flow)
     extra = {
         "flow": flow_text(flow),
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/snapshots.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/snapshots.py
@@ -14,16 +14,22 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """Configuration and members that a balancer knows."""
+    """Configuration and members that a balancer knows; ``is_whole`` if it has read
+    them all.
+    """
 
     configuration: Configuration | None
     members: tuple[Member, ...]
+    is_whole: bool
 
 
 def encode_snapshot(balancer: Balancer) -> bytes:
     """Return what a balancer knows, for a peer."""
     members = tuple(balancer.members.all())
-    return msgspec.msgpack.encode(Snapshot(balancer.routes.configuration, members))
+    snapshot = Snapshot(
+        balancer.routes.configuration, members, balancer.members.is_whole
+    )
+    return msgspec.msgpack.encode(snapshot)
 
 
 def take_snapshot(balancer: Balancer, body: bytes, peer: str, now: float) -> None:
@@ -36,6 +42,7 @@
     take_configuration(balancer, snapshot.configuration, peer)
     if balancer.members.revision:
         return
+    balancer.members.is_whole = balancer.members.is_whole or snapshot.is_whole
     news = [balancer.members.tell(member) for member in snapshot.members]
     if any(news):
         members_are(balancer, now)
--- a/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
@@ -1,6 +1,7 @@
 """The fleet of a soak: the platform's daemons as processes, endpoints in this one."""
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -138,7 +139,10 @@
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             vm.is_stopping = True
-        process.send_signal(number)
+        # Not by the process's own method: that looks whether it has ended, and its exit
+        # code is then lost to the task that waits for it.
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(process.pid, number)
 
     async def ended(self, vm: Vm) -> None:
         """Wait until a VM's daemon has ended; one that doesn't is killed, and told."""
--- a/tests/test_passthrough_dead_flows.py
+++ b/tests/test_passthrough_dead_flows.py
@@ -4,6 +4,7 @@
 
 from cornelspan_common.tokens import TokenBucket
 from cornelspan_passthrough import hops
+from cornelspan_passthrough.members import Members
 from cornelspan_passthrough.searches import HEAD_BYTES
 from cornelspan_standins.packet_world import INTERNAL_PORT
 from passthrough_world import BALANCERS, ORDERS, RECEIPTS, owner_of, small_world
@@ -178,6 +179,30 @@
     assert client.events == ["open", "answer", "answer"]
 
 
+def test_a_balancer_that_knows_few_members_takes_no_flow_for_dead(world):
+    """The caller's flow lives on while a balancer starts without the store.
+
+    A balancer is restarted, cut off from the store, and one agent has spoken up. That
+    agent says that it doesn't hold the flow; the others are not known to be there.
+    """
+    client = world.open_flow(over=BALANCERS[0])
+    world.run(0.2)
+    owner = owner_of(world, client)
+    other = next(address for address in ORDERS if address != owner)
+    restarted = world.add_balancer(BALANCERS[1])
+    restarted.members = Members()
+    restarted.members.tell(world.members[other])
+    restarted.members_changed(world.now)
+    world.agents[other].directory.entries.clear()
+    world.move(client, over=BALANCERS[1])
+    client.request()
+    world.run(0.5)
+    assert "reset" not in client.events
+    world.tell_members()
+    world.run(1.0)
+    assert client.events == ["open", "answer", "answer"]
+
+
 def test_questions_of_a_crowd_of_dead_flows_are_spread(world):
     """Callers of dead flows are told one after the other, and the balancer stays up.
 
