Ask for flows one by one again

Conclusion: the packets tried at every agent are the load, not the questions; slower tries find owners later, faster ones crowd out pings.

--- a/packages/cornelspan-common/src/cornelspan_common/tokens.py
+++ b/packages/cornelspan-common/src/cornelspan_common/tokens.py
@@ -15,11 +15,6 @@
     missing: float = 0.0
     filled_at: float | None = None
 
-    def available(self, now: float) -> float:
-        """Return how many tokens are there."""
-        grown = 0.0 if self.filled_at is None else (now - self.filled_at) * self.rate
-        return self.burst - max(0.0, self.missing - grown)
-
     def take(self, count: float, now: float) -> bool:
         """Take tokens, and return whether there were enough.
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -16,7 +16,7 @@
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.datagrams import DatagramSocket
 from cornelspan_passthrough.delivering import (
-    answer_question,
+    answer_ask,
     deliver,
     find,
     release,
@@ -123,10 +123,9 @@
                 return
             self._open(hop, sender, now)
         elif kind == hops.ASK:
-            question = hops.decode_question(data)
-            if question is not None:
-                answer = answer_question(self, question, now)
-                self.send(sender, hops.encode_answer(answer))
+            note = hops.decode_note(data)
+            if note is not None:
+                self.send(sender, answer_ask(self, note.flow, now))
         elif kind == hops.FIND:
             find(self, data[1:], sender, now)
         elif kind == hops.PASSED and len(data) > hops.PASSED_HEAD:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -31,26 +31,19 @@
 from cornelspan_passthrough.placing import Choose, choose, takes_flows
 from cornelspan_passthrough.pruning import Silences, is_pruner
 from cornelspan_passthrough.pulses import Hello, Ping, Pong, Pulses
-from cornelspan_passthrough.searches import (
-    QUESTION_BYTES_PER_SECOND,
-    TRIES_AT_ONCE,
-    TRIES_PER_SECOND,
-    Searches,
-)
+from cornelspan_passthrough.searches import QUESTIONS_PER_SECOND, Searches
 from cornelspan_passthrough.searching import (
+    ask_all,
     ask_newcomer,
     ask_next,
-    ask_queued,
     end_if_dead,
     find_owner,
     owner_denied,
     owner_found,
-    take_answer,
-    try_agents,
 )
 from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
 
-NOTES = (hops.REFUSED, hops.NOT_HERE, hops.OWNED, hops.UNKNOWN)
+NOTES = (hops.REFUSED, hops.NOT_HERE, hops.OWNED, hops.UNKNOWN, hops.MAYBE)
 # Balancers ping each other at the pace of their fleet, some seconds apart at the most.
 BALANCER_SILENT_SECONDS = 10.0
 
@@ -88,10 +81,7 @@
         self.owners = Learned(self.settings.learned_flows)
         self.search_times = Histogram()
         self.silences = Silences()
-        self.questions = TokenBucket(
-            QUESTION_BYTES_PER_SECOND, QUESTION_BYTES_PER_SECOND
-        )
-        self.tries = TokenBucket(TRIES_PER_SECOND, TRIES_AT_ONCE)
+        self.questions = TokenBucket(QUESTIONS_PER_SECOND, QUESTIONS_PER_SECOND)
         self.pulses = Pulses(self.settings.pulse.missed_pings)
         self.client_port = socket_address(self.settings.packets)[1]
 
@@ -140,12 +130,6 @@
                 self.counts["broken_datagrams"] += 1
                 return
             self._note(note, sender, now)
-        elif kind == hops.ANSWER:
-            answer = hops.decode_answer(data)
-            if answer is None:
-                self.counts["broken_datagrams"] += 1
-                return
-            take_answer(self, answer, sender, now)
         elif kind == hops.HELLO:
             self._hello(data, sender, now)
         elif kind == hops.GONE:
@@ -164,6 +148,10 @@
                 ask_next(self, note.flow, search, now)
         elif note.kind == hops.NOT_HERE:
             owner_denied(self, note.flow, sender, note.packet, now)
+        elif note.kind == hops.MAYBE:
+            search = self.searches.get(note.flow)
+            if search is not None:
+                self.send(sender, hops.encode_packet(hops.TRY, search.packet))
         else:
             place_anew(self, note, sender, now)
 
@@ -185,7 +173,7 @@
             self.first_pong_at = now
         if is_regained or was is None:
             place_held(self, now)
-            ask_newcomer(self, pong.address, now)
+            ask_newcomer(self, pong.address)
         if was is None or was.state != pong.state:
             extra = {"agent": pong.address, "state": pong.state}
             log.info("agent's endpoint changed", extra=extra)
@@ -324,9 +312,9 @@
             search = self.searches.get(flow)
             if search is not None:
                 ask_next(self, flow, search, now)
-        ask_queued(self, now)
-        try_agents(self, now)
         for flow, search in list(self.searches.by_flow.items()):
+            if search.is_queued:
+                ask_all(self, flow, search, now)
             end_if_dead(self, flow, search, now)
         self.searches.sweep(now)
         place_held(self, now)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
@@ -129,15 +129,13 @@
     agent.send(address_text(owner), hops.encode_passed(packet, origin))
 
 
-def answer_question(
-    agent: "Agent", question: hops.Question, now: float
-) -> hops.FlowAnswer:
-    """Return the answer to a balancer that seeks the owners of flows."""
-    owned = tuple(flow for flow in question.flows if agent.flows.get(flow) is not None)
-    maybe: tuple[int, ...] = ()
+def answer_ask(agent: "Agent", flow: int, now: float) -> bytes:
+    """Return the answer to a balancer that seeks the owner of a flow."""
+    if agent.flows.get(flow) is not None:
+        return hops.encode_note(hops.OWNED, flow, agent=agent.own_address)
     if _may_hold_unknown(agent, now):
-        maybe = tuple(flow for flow in question.flows if flow not in owned)
-    return hops.FlowAnswer(question.number, owned, maybe)
+        return hops.encode_note(hops.MAYBE, flow)
+    return hops.encode_note(hops.NOT_HERE, flow)
 
 
 def _may_hold_unknown(agent: "Agent", now: float) -> bool:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
@@ -3,9 +3,9 @@
     OPEN      balancer to agent    a flow's first packet, for the endpoint to take
     DELIVER   balancer to agent    a packet of a flow that the agent owns
     FIND      balancer to home     a packet whose owner the balancer doesn't know
-    ASK       balancer to agents   which of these flows does your endpoint hold?
-    ANSWER    agent to balancer    these, and of those only a packet will tell
-    TRY       balancer to agent    such a packet
+    ASK       balancer to agents   does your endpoint hold this flow?
+    MAYBE     agent to balancer    it may; only a packet of the flow will tell
+    TRY       balancer to agent    that packet
     REFUSED   agent to balancer    a first packet that its endpoint doesn't take
     NOT_HERE  agent to balancer    a packet of a flow that its endpoint doesn't hold
     OWNED     agent to balancer    the flow is owned by the named agent
@@ -37,7 +37,7 @@
 HELLO = 12
 GONE = 13
 PASSED = 14
-ANSWER = 15
+MAYBE = 15
 TRY = 16
 
 FLOW_BYTES = 12
@@ -46,10 +46,6 @@
 LOWEST_PRIORITY = 255
 FLOW_HEAD = struct.Struct("<BB12sI")
 NOBODY = 0
-ASK_HEAD = struct.Struct("<BI")
-ANSWER_HEAD = struct.Struct("<BIB")
-# Flows in one question; it stays below an Ethernet frame of 1,500 bytes.
-ASKED_FLOWS = 96
 PASSED_HEAD = 5
 
 
@@ -102,65 +98,6 @@
     return Open(Urgency(*urgency), tag, (first, second), is_final, packet)
 
 
-class Question(NamedTuple):
-    """Which flows an agent's endpoint holds; ``number`` comes back with the answer."""
-
-    number: int
-    flows: tuple[int, ...]
-
-
-class FlowAnswer(NamedTuple):
-    """What an agent says of the flows of a question.
-
-    It owns those of ``owned``, its endpoint may hold those of ``maybe``, and the rest
-    it doesn't hold.
-    """
-
-    number: int
-    owned: tuple[int, ...]
-    maybe: tuple[int, ...]
-
-
-def encode_question(question: Question) -> bytes:
-    """Return the datagram of a question."""
-    head = ASK_HEAD.pack(ASK, question.number)
-    return head + _encode_flows(question.flows)
-
-
-def decode_question(data: bytes) -> Question | None:
-    """Return the question that a datagram carries; None for a broken one."""
-    if len(data) < ASK_HEAD.size:
-        return None
-    _, number = ASK_HEAD.unpack_from(data)
-    return Question(number, _decode_flows(data[ASK_HEAD.size :]))
-
-
-def encode_answer(answer: FlowAnswer) -> bytes:
-    """Return the datagram of an answer."""
-    head = ANSWER_HEAD.pack(ANSWER, answer.number, len(answer.owned))
-    return head + _encode_flows(answer.owned + answer.maybe)
-
-
-def decode_answer(data: bytes) -> FlowAnswer | None:
-    """Return the answer that a datagram carries; None for a broken one."""
-    if len(data) < ANSWER_HEAD.size:
-        return None
-    _, number, owned = ANSWER_HEAD.unpack_from(data)
-    flows = _decode_flows(data[ANSWER_HEAD.size :])
-    return FlowAnswer(number, flows[:owned], flows[owned:])
-
-
-def _encode_flows(flows: tuple[int, ...]) -> bytes:
-    return b"".join(flow.to_bytes(FLOW_BYTES, "little") for flow in flows)
-
-
-def _decode_flows(data: bytes) -> tuple[int, ...]:
-    starts = range(0, len(data) - FLOW_BYTES + 1, FLOW_BYTES)
-    return tuple(
-        int.from_bytes(data[start : start + FLOW_BYTES], "little") for start in starts
-    )
-
-
 def encode_packet(kind: int, packet: bytes) -> bytes:
     """Return the datagram of a packet that needs no further word."""
     return bytes((kind,)) + packet
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/searching.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/searching.py
@@ -7,7 +7,7 @@
 from cornelspan_common.logs import get_log
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.heads import RST, SYN, Head, flow_text
-from cornelspan_passthrough.searches import HEAD_BYTES, Search
+from cornelspan_passthrough.searches import Search
 
 if TYPE_CHECKING:
     from cornelspan_passthrough.balancer import Balancer
@@ -20,9 +20,9 @@
     search = balancer.searches.get(head.flow)
     if search is not None:
         search.keep(data)
-        missing = search.asked - search.without - search.untried.keys()
-        if missing and _may_ask(balancer, 1, len(missing), now):
-            _ask(balancer, (head.flow,), missing, now)
+        missing = search.asked - search.without
+        if missing and balancer.questions.take(len(missing), now):
+            _ask(balancer, head.flow, missing)
         return
     if head.flags & RST:
         balancer.counts["strays"] += 1
@@ -43,114 +43,33 @@
             balancer.send(home, hops.encode_packet(hops.FIND, search.packet))
             return
     search.is_queued = True
-    if 2 * balancer.questions.available(now) > balancer.questions.burst:
-        ask_queued(balancer, now)
+    ask_all(balancer, flow, search, now)
 
 
-def ask_queued(balancer: "Balancer", now: float) -> None:
-    """Ask all agents for the flows that are queued, many at once, within the rate.
-
-    After a common loss of power or of all processes each client's flow is sought.
-    Asked for one by one, 300 agents could be asked for ten flows a second, and clients
-    waited 3.5 s; in one datagram a further flow costs 12 bytes instead of 60.
-    """
+def ask_all(balancer: "Balancer", flow: int, search: Search, now: float) -> None:
+    """Ask all agents, as soon as the rate of questions allows."""
     agents = [member.address for member in balancer.members.agents()]
-    if not agents:
+    if not agents or not balancer.questions.take(len(agents), now):
         return
-    queued = balancer.searches.queued()
-    while queued:
-        room = _affordable_flows(balancer, len(queued), len(agents), now)
-        flows, queued = tuple(queued[:room]), queued[room:]
-        if not flows or not _may_ask(balancer, len(flows), len(agents), now):
-            return
-        for flow in flows:
-            search = balancer.searches.by_flow[flow]
-            search.is_queued = False
-            search.asked = frozenset(agents)
-            extra = {"flow": flow_text(flow), "agents": len(agents)}
-            log.info("owner asked of all", extra=extra)
-        _ask(balancer, flows, agents, now)
-
-
-def _affordable_flows(
-    balancer: "Balancer", queued: int, agents: int, now: float
-) -> int:
-    """Return how many flows the rate lets all agents be asked for at once.
-
-    Unless that is all of them, a quarter of the burst is waited for: asked for as they
-    become affordable, each flow would cost a datagram again. A fleet so large that even
-    one flow costs more than the burst is asked for one at a time, whenever the burst is
-    whole.
-    """
-    available = balancer.questions.available(now)
-    flows = int((available / agents - HEAD_BYTES) // hops.FLOW_BYTES)
-    burst = balancer.questions.burst
-    if flows < 1:
-        return int(available >= burst)
-    if flows < min(queued, hops.ASKED_FLOWS) and available < burst / 4:
-        return 0
-    return min(flows, hops.ASKED_FLOWS)
-
+    search.is_queued = False
+    search.asked = frozenset(agents)
+    log.info(
+        "owner asked of all",
+        extra={"flow": flow_text(flow), "agents": len(agents)},
+    )
+    _ask(balancer, flow, search.asked)
 
-def _may_ask(balancer: "Balancer", flows: int, agents: int, now: float) -> bool:
-    """Take what a question costs from the rate; return whether there was enough."""
-    size = HEAD_BYTES + flows * hops.FLOW_BYTES
-    return balancer.questions.take(size * agents, now)
 
-
-def _ask(
-    balancer: "Balancer", flows: tuple[int, ...], agents: Iterable[str], now: float
-) -> None:
-    question = hops.encode_question(balancer.searches.question(flows, now))
+def _ask(balancer: "Balancer", flow: int, agents: Iterable[str]) -> None:
     for address in agents:
-        balancer.send(address, question)
+        balancer.send(address, hops.encode_note(hops.ASK, flow))
 
 
-def ask_newcomer(balancer: "Balancer", address: str, now: float) -> None:
+def ask_newcomer(balancer: "Balancer", address: str) -> None:
     """Ask an agent that has just come up what it was asked in vain before."""
-    flows = [
-        flow
-        for flow, search in balancer.searches.by_flow.items()
-        if address in search.asked and address not in search.without
-    ]
-    for start in range(0, len(flows), hops.ASKED_FLOWS):
-        batch = tuple(flows[start : start + hops.ASKED_FLOWS])
-        _ask(balancer, batch, [address], now)
-
-
-def take_answer(
-    balancer: "Balancer", answer: hops.FlowAnswer, agent: str, now: float
-) -> None:
-    """Take in which flows of a question an agent holds."""
-    asked = balancer.searches.questions.get(answer.number)
-    if asked is None:
-        return
-    owned, maybe = set(answer.owned), set(answer.maybe)
-    for flow in asked.flows:
-        search = balancer.searches.get(flow)
-        if search is None:
-            continue
-        if flow in owned:
-            owner_found(balancer, flow, agent, now)
-        elif flow in maybe:
-            search.untried[agent] = None
-        else:
-            owner_denied(balancer, flow, agent, b"", now)
-    try_agents(balancer, now)
-
-
-def try_agents(balancer: "Balancer", now: float) -> None:
-    """Send sought flows' packets to agents that may hold them, within the rate.
-
-    The oldest search goes first. Once the owner is found the rest isn't tried.
-    """
-    for search in balancer.searches.by_flow.values():
-        packet = hops.encode_packet(hops.TRY, search.packet)
-        while search.untried:
-            if not balancer.tries.take(1, now):
-                return
-            agent, _ = search.untried.popitem()
-            balancer.send(agent, packet)
+    for flow, search in balancer.searches.by_flow.items():
+        if address in search.asked and address not in search.without:
+            _ask(balancer, flow, [address])
 
 
 def owner_found(balancer: "Balancer", flow: int, owner: str, now: float) -> None:
--- a/tests/test_passthrough_dead_flows.py
+++ b/tests/test_passthrough_dead_flows.py
@@ -5,7 +5,6 @@
 from cornelspan_common.tokens import TokenBucket
 from cornelspan_passthrough import hops
 from cornelspan_passthrough.members import Members
-from cornelspan_passthrough.searches import HEAD_BYTES
 from cornelspan_standins.packet_world import INTERNAL_PORT
 from passthrough_world import BALANCERS, ORDERS, RECEIPTS, owner_of, small_world
 
@@ -215,64 +214,18 @@
         world.endpoints[address].flows.clear()
         world.start_agent(address)
     asked = []
-    world.lost = lambda source, target, data: (
-        data[0] == hops.ASK and asked.append(len(data) + 28)
-    )
+    world.lost = lambda source, target, data: data[0] == hops.ASK and asked.append(1)
     balancer = world.balancers[BALANCERS[1]]
-    balancer.questions = TokenBucket(rate=6000.0, burst=1200.0)
+    balancer.questions = TokenBucket(rate=100.0, burst=20.0)
     for client in clients:
         world.move(client, over=BALANCERS[1])
         client.request()
     world.run(0.2)
-    assert sum(asked) <= 1200 + 0.2 * 6000 + len(world.agents) * HEAD_BYTES
+    assert len(asked) <= 20 + 0.2 * 100 + len(ORDERS) + len(RECEIPTS)
     world.run(2.5)
     assert all("reset" in client.events for client in clients)
 
 
-def test_many_flows_are_asked_for_at_once(world):
-    """Callers of three hundred dead flows are all told within a second.
-
-    Asked for one by one, each flow would cost a datagram to each agent, and the rate
-    of questions would make the last wait for long.
-    """
-    clients = [world.open_flow(over=BALANCERS[0]) for _ in range(300)]
-    world.run(2.0)
-    for address in (*ORDERS, *RECEIPTS):
-        world.endpoints[address].flows.clear()
-        world.start_agent(address)
-    balancer = world.balancers[BALANCERS[1]]
-    balancer.questions = TokenBucket(rate=25_000.0, burst=5000.0)
-    for client in clients:
-        world.move(client, over=BALANCERS[1])
-        client.request()
-    world.run(1.0)
-    assert sum("reset" in client.events for client in clients) == 300
-
-
-def test_packets_of_sought_flows_are_spread(world):
-    """Callers are served while all agents are new beside living endpoints.
-
-    Every agent answers that its endpoint may hold the flow, so the flow's packet goes
-    to each of them until one does. Sent at once for all flows, these packets fill a
-    small VM's link.
-    """
-    clients = [world.open_flow(over=BALANCERS[0]) for _ in range(60)]
-    world.run(0.5)
-    for address in (*ORDERS, *RECEIPTS):
-        world.start_agent(address)
-    tried = []
-    world.lost = lambda source, target, data: data[0] == hops.TRY and tried.append(1)
-    balancer = world.balancers[BALANCERS[1]]
-    balancer.tries = TokenBucket(rate=200.0, burst=10.0)
-    for client in clients:
-        world.move(client, over=BALANCERS[1])
-        client.request()
-    world.run(0.2)
-    assert len(tried) <= 10 + 0.2 * 200
-    world.run(3.0)
-    assert all(client.events == ["open", "answer", "answer"] for client in clients)
-
-
 def test_an_agent_whose_endpoint_had_gone_is_not_waited_for(world):
     """The caller of a dead flow is told without the wait for a silent agent.
 
