--- a/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
@@ -196,7 +196,9 @@
                 vm.service,
                 lambda data: transport.sendto(data, outbound),
                 lambda seconds, action: loop.call_later(seconds, action),
-                random.Random(self.plan.seed),
+                # Not of one seed: endpoints would answer with the same numbers, and a
+                # flow could open at two of them.
+                random.Random(f"{self.plan.seed}:{vm.address}"),
                 loop.time,
                 work=lambda data: self.on_work(vm, data),
                 slots=SLOTS,
