Start the soak's processes in groups of their own

The shell that had started both ended while the soak had a daemon paused; the kernel hangs up a process group that is orphaned with a stopped member. Eighteen daemons were left behind and ended by their ids.

Change: each daemon has a group of its own, and the soak ends in order on SIGHUP as well.

--- a/packages/cornelspan-standins/src/cornelspan_standins/soak.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak.py
@@ -384,7 +384,8 @@
     Told to stop, it ends the processes that it has started before it goes.
     """
     task = asyncio.current_task()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     folder.mkdir(parents=True, exist_ok=True)
     objects = PlatformObjects()
     faults = draw_faults(plan)
--- a/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
@@ -118,6 +118,9 @@
             env={**os.environ, "CORNELSPAN_BOOT": str(file)},
             stdout=log,
             stderr=log,
+            # In the soak's group a paused daemon would have the kernel hang up all of
+            # the group as soon as the shell that started it ends.
+            process_group=0,
         )
         log.close()
         watcher = asyncio.create_task(self._watch(vm, vm.process))
