Put constants of judging and soak where a reader looks; type the soak's faults

Cause: read as a newcomer, a constant stood below the functions that use it, and three parameters had no type.

Change: moved and typed; no decision changes.

Measured: tests/test_passthrough_judging.py and test_soak.py pass.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/judging.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/judging.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from cornelspan_passthrough.agent import Agent
 
+# A probe's first request follows its first packet after a round trip to the client.
+PROBE_SECONDS = 0.05
+
 log = get_log(__name__)
 
 
@@ -86,7 +89,3 @@
         return 0
     probes = agent.flows.running + agent.flows.opened_since(now - PROBE_SECONDS)
     return hops.ENDPOINT_PROBED if probes else 0
-
-
-# A probe's first request follows its first packet after a round trip to the client.
-PROBE_SECONDS = 0.05
--- a/packages/cornelspan-standins/src/cornelspan_standins/soak.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak.py
@@ -11,8 +11,10 @@
 import contextlib
 import random
 import signal
+from collections.abc import Callable, Coroutine
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
+from typing import Any
 
 import msgspec
 from rich.console import Console
@@ -39,6 +41,8 @@
 LOST_SHARE = 0.1
 LINK_DELAY_SECONDS = 0.05
 STORE_REFUSALS = (429, 503)
+# Until its trouble ends the store counts as in trouble.
+STORE_AHEAD_SECONDS = 3600.0
 KINDS = (
     RequestPlan(
         name="feed",
@@ -128,7 +132,9 @@
 
     # Clients and routers
 
-    def _open_flow(self, address: int, port: int, told) -> PacketClient:  # noqa: ANN001
+    def _open_flow(
+        self, address: int, port: int, told: Callable[[str], None]
+    ) -> PacketClient:
         """Return a client's flow; all clients share one socket's address."""
         source_port = self.next_port
         self.next_port += 1
@@ -189,7 +195,7 @@
                 vm.address: await self.fleet.is_ready(vm)
                 for vm in self.fleet.of_role("balancer")
             }
-            self.routers.probe(lambda address: ready[address])  # noqa: B023
+            self.routers.probe(ready.__getitem__)
             await asyncio.sleep(PROBE_SECONDS)
 
     async def load(self, seconds: float) -> None:
@@ -290,7 +296,7 @@
                 return
         self._later(self._with_trouble(change))
 
-    async def _with_trouble(self, change) -> None:  # noqa: ANN001
+    async def _with_trouble(self, change: Coroutine[Any, Any, None]) -> None:
         """Have the store count as in trouble until a change of it has ended."""
         self.promises.store_troubled = self.loop.time() + STORE_AHEAD_SECONDS
         await change
@@ -303,7 +309,7 @@
         await asyncio.sleep(lasts)
         setattr(owner, name, usual)
 
-    def _later(self, work) -> None:  # noqa: ANN001
+    def _later(self, work: Coroutine[Any, Any, None]) -> None:
         self.tasks.start(work, name="fault")
 
     def _restart(self, vm: Vm, fault: SoakFault) -> None:
@@ -348,10 +354,6 @@
         self.configure()
 
 
-# Until its trouble ends the store counts as in trouble.
-STORE_AHEAD_SECONDS = 3600.0
-
-
 def configuration_of(version: int, services: dict[str, str]) -> dict:
     """Return the operator's configuration, as the platform spells it."""
     routes = [
