--- a/packages/cornelspan-standins/src/cornelspan_standins/soak.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak.py
@@ -11,10 +11,9 @@
 import contextlib
 import random
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
-from typing import Any
 
 import msgspec
 from rich.console import Console
@@ -26,11 +25,8 @@
 from cornelspan_standins.packet_ends import PacketClient, decode
 from cornelspan_standins.packet_routers import PROBE_SECONDS, PacketRouters
 from cornelspan_standins.platform_store import PlatformObjects, platform_store
-from cornelspan_standins.soak_checks import (
-    LONG_PAUSE_SECONDS,
-    Broken,
-    Promises,
-)
+from cornelspan_standins.soak_checks import Broken, Promises
+from cornelspan_standins.soak_faults import begin
 from cornelspan_standins.soak_fleet import CLIENTS, HOME, Fleet, Vm, fleet, open_udp
 from cornelspan_standins.soak_plan import SoakFault, SoakPlan, draw_faults
 from cornelspan_standins.soak_proxy import Proxy, proxy
@@ -38,11 +34,6 @@
 READY_SECONDS = 30.0
 FIRST_CLIENT_PORT = 20_001
 LAST_CLIENT_PORT = 60_000
-LOST_SHARE = 0.1
-LINK_DELAY_SECONDS = 0.05
-STORE_REFUSALS = (429, 503)
-# Until its trouble ends the store counts as in trouble.
-STORE_AHEAD_SECONDS = 3600.0
 KINDS = (
     RequestPlan(
         name="feed",
@@ -238,121 +229,6 @@
         for kind, service in self.services.items():
             self.promises.route(kind, service, self.loop.time())
 
-    # Faults
-
-    def begin(self, fault: SoakFault) -> None:
-        """Begin a fault; what it takes time for goes on as a task."""
-        pick = random.Random(fault.pick)
-        balancer = pick.choice(self.fleet.of_role("balancer"))
-        agent = pick.choice(self.fleet.of_role("agent"))
-        match fault.kind:
-            case "term balancer" | "kill balancer":
-                self._restart(balancer, fault)
-            case "term agent" | "kill agent":
-                self._restart(agent, fault)
-            case "kill all":
-                for vm in self.fleet.vms.values():
-                    self._restart(vm, fault)
-            case "pause balancer":
-                self._later(self._pause(balancer, fault.lasts))
-            case "pause agent":
-                self._later(self._pause(agent, fault.lasts))
-            case "crash endpoint":
-                self._later(self._crash(agent, fault.lasts))
-            case "drain endpoint":
-                self._later(self._drain(agent, fault.lasts))
-            case "change configuration":
-                self._change_configuration(pick)
-            case "change settings":
-                self.fleet.write_settings(balancer, learned_flows=pick.randrange(9999))
-                if pick.random() < 0.5:
-                    self.fleet.send_signal(balancer, signal.SIGHUP)
-            case "links lose":
-                self._later(self._set(self, "lost_share", LOST_SHARE, fault.lasts))
-            case "links delay":
-                delay = self._set(self, "link_delay", LINK_DELAY_SECONDS, fault.lasts)
-                self._later(delay)
-            case _:
-                self._trouble_store(fault, pick)
-
-    def _trouble_store(self, fault: SoakFault, pick: random.Random) -> None:
-        match fault.kind:
-            case "store refuses":
-                refusal = pick.choice(STORE_REFUSALS)
-                change = self._set(self.objects, "refusal", refusal, fault.lasts)
-            case "store garbled":
-                change = self._set(self.objects, "garbled", True, fault.lasts)
-            case "store delayed":
-                change = self._set(self.store, "delay", 0.3, fault.lasts)
-            case "store silent":
-                change = self._set(self.store, "silent", True, fault.lasts)
-            case "store cut one way":
-                change = self._set(self.store, "one_way", True, fault.lasts)
-            case "store reset":
-                self.store.reset_all()
-                return
-            case _:
-                self.objects.drop_history()
-                return
-        self._later(self._with_trouble(change))
-
-    async def _with_trouble(self, change: Coroutine[Any, Any, None]) -> None:
-        """Have the store count as in trouble until a change of it has ended."""
-        self.promises.store_troubled = self.loop.time() + STORE_AHEAD_SECONDS
-        await change
-        self.promises.store_troubled = self.loop.time()
-
-    async def _set(self, owner: object, name: str, value: object, lasts: float) -> None:
-        """Set an attribute for a while."""
-        usual = type(getattr(owner, name))()
-        setattr(owner, name, value)
-        await asyncio.sleep(lasts)
-        setattr(owner, name, usual)
-
-    def _later(self, work: Coroutine[Any, Any, None]) -> None:
-        self.tasks.start(work, name="fault")
-
-    def _restart(self, vm: Vm, fault: SoakFault) -> None:
-        """Stop a daemon, in order or not, and have it started again."""
-        is_kill = fault.kind.startswith("kill")
-        self.fleet.send_signal(vm, signal.SIGKILL if is_kill else signal.SIGTERM)
-        if is_kill:
-            self.promises.disturbed[vm.address] = self.loop.time()
-        self._later(self._start_again(vm))
-
-    async def _start_again(self, vm: Vm) -> None:
-        self.fleet.send_signal(vm, signal.SIGCONT)
-        await self.fleet.ended(vm)
-        await self.fleet.start_daemon(vm)
-
-    async def _pause(self, vm: Vm, seconds: float) -> None:
-        self.fleet.send_signal(vm, signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        self.fleet.send_signal(vm, signal.SIGCONT)
-        if seconds >= LONG_PAUSE_SECONDS:
-            self.promises.disturbed[vm.address] = self.loop.time()
-
-    async def _crash(self, vm: Vm, seconds: float) -> None:
-        self.fleet.crash_endpoint(vm)
-        await asyncio.sleep(seconds)
-        self.promises.leaving.pop(vm.address, None)
-        await self.fleet.start_endpoint(vm)
-
-    async def _drain(self, vm: Vm, seconds: float) -> None:
-        """Have an endpoint leave in order, and a new life come at its address."""
-        vm.draining = True
-        await asyncio.sleep(seconds)
-        self.fleet.crash_endpoint(vm)
-        await self.fleet.say_leave(vm)
-        await self._crash(vm, 0.5)
-
-    def _change_configuration(self, pick: random.Random) -> None:
-        """Send feeds to the other service, or write the same routes anew."""
-        if pick.random() < 0.6:
-            other = {"orders": "receipts", "receipts": "orders"}
-            self.services["feed"] = other[self.services["feed"]]
-        self.configure()
-
 
 def configuration_of(version: int, services: dict[str, str]) -> dict:
     """Return the operator's configuration, as the platform spells it."""
@@ -429,7 +305,7 @@
     begun = soak.loop.time()
     for fault in faults:
         await asyncio.sleep(max(0.0, begun + fault.at - soak.loop.time()))
-        soak.begin(fault)
+        begin(soak, fault)
     await asyncio.sleep(max(0.0, begun + soak.plan.seconds - soak.loop.time()))
 
 
