--- a/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from cornelspan_shirakaba import packets
 from cornelspan_standins.packet_ends import PacketEndpoint, decode
@@ -285,7 +285,7 @@
     )
     try:
         return (await AsyncHTTPClient().fetch(request, raise_error=False)).code
-    except OSError:
+    except (OSError, HTTPClientError):
         return 0
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from cornelspan_standins.packet_ends import PacketClient
 from cornelspan_standins.soak import run_soak
 from cornelspan_standins.soak_checks import DRAIN_SECONDS, TOUCH_SECONDS, Promises
+from cornelspan_standins.soak_fleet import call
 from cornelspan_standins.soak_plan import WEIGHTS, SoakPlan, draw_faults
 from cornelspan_standins.soak_proxy import proxy
 from local import BASE_PORT
@@ -157,3 +158,15 @@
         except OSError:
             continue
     return found
+
+
+async def test_a_call_that_nobody_answers_in_time_is_no_answer(port):
+    """The routers of a soak go on probing on a machine that is busy.
+
+    A probe that timed out ended the task that probes, and no balancer ever came into
+    the rotation.
+    """
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", port)
+    async with server:
+        assert await call(f"http://127.0.0.1:{port}/") == 0
+    assert await call(f"http://127.0.0.1:{port}/") == 0
