Tell an endpoint's lives apart by their start; decode others' records one by one

Cause: an agent told lives apart by name and order of arrival, so an endpoint that started again under its name had its reports dropped as repeats: its flows of before were taken to be open, its word to leave was acknowledged and not obeyed. A late report of an earlier life began a new one at an agent that had been restarted, and a report of another service ended the sound endpoint's flows. One object of a listing or watch that could not be read hid all others; states, capacities and names of no meaning were taken.

Change: a life is a name and the time of its start, which decides; what seems past is not acknowledged, and believed by its second report in a row. A report of another service stops new flows until the sound endpoint's next report and ends none. Records are decoded one by one, with bounds on every figure that goes into messages between daemons; what can't be used is counted, and logged at a bounded rate. A member whose entry was overwritten stays known.

A report without a start is taken (the platform's own examples leave it out), one with an odd start is refused.

--- a/packages/cornelspan-common/src/cornelspan_common/bounded_logs.py
+++ b/packages/cornelspan-common/src/cornelspan_common/bounded_logs.py
@@ -18,6 +18,19 @@
 # kept whole by the burst; at 30 us a line the rate costs under 1 % of a core.
 LINES_PER_SECOND = 200.0
 BURST_LINES = 2000.0
+# Lines on records of others that can't be used. Ten show what they are; a writer that
+# goes on sending them fills the log by a line each two seconds, and a metric counts.
+COMPLAINTS_PER_SECOND = 0.5
+BURST_COMPLAINTS = 10.0
+
+
+def complaint_bucket() -> TokenBucket:
+    """Return what bounds the lines on records of others that can't be used.
+
+    Warnings pass the handler's own bound, so whoever sends broken records could flood
+    the log by them.
+    """
+    return TokenBucket(COMPLAINTS_PER_SECOND, BURST_COMPLAINTS)
 
 
 class BoundedHandler(logging.Handler):
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cornelspan_common.bounded_logs import complaint_bucket
 from cornelspan_common.ejection import Judgement
 from cornelspan_common.expiring import Expiring
 from cornelspan_common.logs import get_log, set_level
@@ -22,7 +23,7 @@
     release,
     say_not_here,
 )
-from cornelspan_passthrough.endpoint import Endpoint, Report
+from cornelspan_passthrough.endpoint import Endpoint, Hearing, Life, Report
 from cornelspan_passthrough.flows import NO_DOUBT, Doubt, FlowTable, OwnedFlow
 from cornelspan_passthrough.heads import (
     BOUNCED,
@@ -91,6 +92,7 @@
         self.directory: Expiring[int] = Expiring(idle_seconds=kept)
         self.waiting = WaitingLine()
         self.judgement = Judgement()
+        self.complaints = complaint_bucket()
         self.waiting_times = Histogram()
         self.endpoint = Endpoint(
             settings.service, settings.report_milliseconds / 1000, self.started_at
@@ -169,6 +171,8 @@
             return hops.ENDPOINT_LEAVES
         if self.endpoint.state == DOWN or self.stopping:
             return hops.ENDPOINT_DOWN
+        if self.endpoint.is_foreign:
+            return hops.ENDPOINT_FOREIGN
         if hop.is_final:
             return 0
         return hops.ENDPOINT_BUSY if self._is_busy(now) else probe_refusal(self, now)
@@ -190,7 +194,7 @@
                 "flow": flow_text(flow),
                 "reason": hops.REASONS[reason],
                 "balancer": origin,
-                "life": self.endpoint.life,
+                "life": str(self.endpoint.life),
             },
         )
         self.counts["flows_handed_back"] += 1
@@ -222,7 +226,7 @@
             self.settings.address,
             self.settings.datacentre,
             self.settings.service,
-            DOWN if self.stopping else endpoint.state,
+            DOWN if self.stopping else endpoint.announced_state,
             endpoint.capacity,
             self.flows.running + len(self.waiting),
             self.flows.open_flows,
@@ -304,17 +308,18 @@
 
     # The endpoint's reports
 
-    def report(self, report: Report, now: float) -> None:
-        """Take in a report of the endpoint."""
-        was = (self.endpoint.life, self.endpoint.state)
+    def report(self, report: Report, now: float) -> Hearing:
+        """Take in a report of the endpoint; return what it was taken for."""
+        was = (self.endpoint.life, self.endpoint.announced_state)
         heard_at = self.endpoint.reported_at
-        begins = self.endpoint.report(report, now)
-        if (self.endpoint.life, self.endpoint.state) != was:
+        hearing = self.endpoint.report(report, now)
+        if (self.endpoint.life, self.endpoint.announced_state) != was:
             log_endpoint(self, "endpoint reported")
             self.tell_balancers(now)
-        if begins:
+        if hearing is Hearing.BEGINS:
             self.judgement = Judgement()
             end_flows(self, "endpoint restarted", before=heard_at)
+        return hearing
 
     def tell_balancers(self, now: float) -> None:
         """Tell the balancers of a change without being asked.
@@ -325,7 +330,7 @@
         for balancer in self.balancers:
             self.send(balancer, self._pong(now))
 
-    def leave(self, life: str) -> None:
+    def leave(self, life: Life) -> None:
         """Take in that the endpoint has gone."""
         if self.endpoint.leave(life):
             log_endpoint(self, "endpoint left")
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/balancer.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from cornelspan_common.bounded_logs import complaint_bucket
 from cornelspan_common.learned import Learned
 from cornelspan_common.logs import get_log, set_level
 from cornelspan_common.tokens import TokenBucket
@@ -23,6 +24,7 @@
     PacketCodec,
     address_text,
     client_address,
+    is_address,
 )
 from cornelspan_passthrough.histograms import Histogram
 from cornelspan_passthrough.homes import Homes
@@ -81,6 +83,7 @@
         self.owners = Learned(self.settings.learned_flows)
         self.search_times = Histogram()
         self.silences = Silences()
+        self.complaints = complaint_bucket()
         self.questions = TokenBucket(QUESTIONS_PER_SECOND, QUESTIONS_PER_SECOND)
         self.pulses = Pulses(self.settings.pulse.missed_pings)
         self.client_port = socket_address(self.settings.packets)[1]
@@ -202,6 +205,9 @@
         except msgspec.DecodeError:
             self.counts["broken_datagrams"] += 1
             return
+        if not is_address(hello.address):
+            self.counts["broken_datagrams"] += 1
+            return
         member = Member(hello.address, hello.role, hello.datacentre, hello.service)
         if member.role == AGENT:
             self.ping_agent(member.address, now)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/following.py
@@ -13,6 +13,7 @@
     ConfigurationAt,
     FollowError,
     PlatformStore,
+    Unreadable,
     follow,
 )
 
@@ -71,6 +72,7 @@
         return found.map(take)
 
     def take(found: ConfigurationAt) -> int:
+        complain(balancer, found.unreadable)
         take_configuration(balancer, found.configuration, "store")
         return found.revision
 
@@ -93,7 +95,9 @@
     async def read() -> Result[int, FollowError]:
         match await store.list_members():
             case Ok(found):
-                balancer.members.replace(found.members, found.revision)
+                names = [each.name for each in found.unreadable]
+                complain(balancer, found.unreadable)
+                balancer.members.replace(found.members, found.revision, names)
                 members_are(balancer, now())
                 return Ok(found.revision)
             case error:
@@ -102,6 +106,9 @@
     async def watch(revision: int) -> Result[int, FollowError]:
         match await store.watch_members(revision, MEMBERS_WATCH_SECONDS):
             case Ok(found):
+                complain(balancer, found.unreadable)
+                for each in found.unreadable:
+                    balancer.members.lose_entry(each.name)
                 for member in found.changed:
                     balancer.members.put(member, found.revision)
                 for address in found.removed:
@@ -117,6 +124,16 @@
     await follow("members", read, watch, backoff)
 
 
+def complain(balancer: Balancer, unreadable: tuple[Unreadable, ...]) -> None:
+    """Count entries that can't be read, and log them while the log has room."""
+    now = asyncio.get_running_loop().time()
+    for each in unreadable:
+        balancer.counts["unreadable_entries"] += 1
+        if balancer.complaints.take(1, now):
+            extra = {"entry": each.name, "reason": each.reason}
+            log.warning("entry can't be read", extra=extra)
+
+
 def members_are(balancer: Balancer, now: float) -> None:
     """Take in that the known members have changed."""
     balancer.members_changed(now)
@@ -147,6 +164,7 @@
             continue
         match await store.read_configuration():
             case Ok(found):
+                complain(balancer, found.unreadable)
                 take_configuration(balancer, found.configuration, "store")
             case Err(error):
                 log.info("store can't help", extra={"reason": str(error)})
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/heads.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/heads.py
@@ -85,6 +85,14 @@
     return f"{address >> 24}.{address >> 16 & 255}.{address >> 8 & 255}.{address & 255}"
 
 
+def is_address(text: str) -> bool:
+    """Whether a text is the address of a VM or a route."""
+    try:
+        return not IPv4Address(text).is_unspecified
+    except ValueError:
+        return False
+
+
 def flow_text(flow: int) -> str:
     """Return a flow for the log: client, then route.
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/hops.py
@@ -136,6 +136,7 @@
 ENDPOINT_FULL = 4
 ENDPOINT_BUSY = 5
 ENDPOINT_PROBED = 6
+ENDPOINT_FOREIGN = 7
 REASONS = {
     FOREIGN_SERVICE: "foreign service",
     ENDPOINT_LEAVES: "endpoint leaves",
@@ -143,4 +144,5 @@
     ENDPOINT_FULL: "endpoint full",
     ENDPOINT_BUSY: "endpoint busy",
     ENDPOINT_PROBED: "endpoint is tried with one request",
+    ENDPOINT_FOREIGN: "another service reports at the endpoint's address",
 }
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/judging.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/judging.py
@@ -63,7 +63,7 @@
     if stands is was:
         return
     extra = {
-        "life": agent.endpoint.life,
+        "life": str(agent.endpoint.life),
         "was": was.value,
         "stands": stands.value,
         "for_ms": max(0, round((judgement.ejected_until - now) * 1000)),
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/lives.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/lives.py
@@ -59,8 +59,9 @@
     """Log what an agent knows of its endpoint now."""
     endpoint = agent.endpoint
     extra = {
-        "life": endpoint.life,
+        "life": str(endpoint.life),
         "state": STATE_NAMES[endpoint.state],
+        "is_foreign": endpoint.is_foreign,
         "sequence": endpoint.sequence,
         "capacity": endpoint.capacity,
         "flows": len(agent.flows),
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/members.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/members.py
@@ -1,5 +1,6 @@
 """The daemons that a process knows: as they are listed, and as they say themselves."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -38,10 +39,20 @@
     revision: int = 0
     is_whole: bool = False
 
-    def replace(self, members: list[Member], revision: int) -> bool:
-        """Take in a whole listing; return False if a newer one is known."""
+    def replace(
+        self, members: list[Member], revision: int, unreadable: Iterable[str] = ()
+    ) -> bool:
+        """Take in a whole listing; return False if a newer one is known.
+
+        Args:
+            members: All that are listed.
+            revision: The store's.
+            unreadable: Names of entries that can't be read.
+        """
         if revision < self.revision:
             return False
+        for address in unreadable:
+            self.lose_entry(address)
         self.listed = {member.address: member for member in members}
         self.revision = revision
         self.is_whole = True
@@ -54,6 +65,17 @@
         self.revision = max(self.revision, revision)
         self._forget_told()
 
+    def lose_entry(self, address: str) -> None:
+        """Take in that a member's entry was overwritten by what can't be read.
+
+        The daemon itself may be well. Taken off the list, it would no longer be asked
+        for its flows, and these would seem dead and be reset. So it stays until it is
+        silent for long; told by the pings that it is not listed, it lists itself anew.
+        """
+        member = self.listed.pop(address, None)
+        if member is not None:
+            self.told.setdefault(address, member)
+
     def remove(self, address: str, revision: int) -> None:
         """Take in that a member is no longer listed."""
         self.listed.pop(address, None)
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -13,7 +13,7 @@
 from cornelspan_passthrough.calls import JSON, NOT_FOUND, Answer, Call
 from cornelspan_passthrough.datagrams import datagram_socket
 from cornelspan_passthrough.delivering import release
-from cornelspan_passthrough.endpoint import Report
+from cornelspan_passthrough.endpoint import Hearing, Life, Report
 from cornelspan_passthrough.greeting import greet
 from cornelspan_passthrough.heads import PacketCodec
 from cornelspan_passthrough.hops import GONE
@@ -57,7 +57,7 @@
 class Left:
     """An endpoint's word that a life of it is over."""
 
-    life: str
+    life: Life
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +138,7 @@
     sockets.enter_context(
         http.http_server(
             socket_address(settings.reports),
-            lambda call: _answer(agent, read_call(call), now()),
+            lambda call: answer(agent, read_call(call), now()),
         )
     )
     if settings.metrics_port is not None:
@@ -150,21 +150,47 @@
     return Member(settings.address, AGENT, settings.datacentre, settings.service)
 
 
-def _answer(agent: Agent, call: EndpointCall, now: float) -> Answer:
+def answer(agent: Agent, call: EndpointCall, now: float) -> Answer:
+    """Take in what the endpoint says and return the answer to its call."""
     match call:
         case Report():
-            agent.report(call, now)
-            return Answer(200, b"{}", JSON)
+            return _answer_report(agent, call, now)
         case Left(life):
             agent.leave(life)
             return Answer(200, b"{}", JSON)
         case Refused(reason):
-            log.warning("endpoint's call refused", extra={"reason": reason})
-            return Answer(400, reason.encode())
+            return _refuse(agent, Answer(400, reason.encode()), reason, now)
         case None:
             return NOT_FOUND
 
 
+def _answer_report(agent: Agent, report: Report, now: float) -> Answer:
+    """Acknowledge a report if it is obeyed.
+
+    An endpoint that is told that its word to leave has arrived drains for as long as it
+    must and no longer. Acknowledged for a life that is not the present one, its word
+    would change nothing, and it would still get new flows when that time is over. Not
+    acknowledged, it reports again if it lives, and is believed by its second report.
+    """
+    match agent.report(report, now):
+        case Hearing.DOUBTED:
+            reason = f"{report.life} is not the life that runs here"
+            return _refuse(agent, Answer(409, reason.encode()), reason, now)
+        case Hearing.FOREIGN:
+            reason = f"service {report.service} is not served here"
+            return _refuse(agent, Answer(409, reason.encode()), reason, now)
+        case _:
+            return Answer(200, b"{}", JSON)
+
+
+def _refuse(agent: Agent, answer: Answer, reason: str, now: float) -> Answer:
+    """Count a call that is not taken in, and log it while the log has room."""
+    agent.counts["refused_reports"] += 1
+    if agent.complaints.take(1, now):
+        log.warning("endpoint's call refused", extra={"reason": reason})
+    return answer
+
+
 async def _stay_listed(agent: Agent, member: Member, store: PlatformStore) -> None:
     """List this agent, and again whenever its entry seems to be gone."""
     backoff = Backoff(random.Random())
@@ -202,7 +228,7 @@
         endpoint = agent.endpoint
         if endpoint.state == DOWN or not endpoint.is_overdue(now()):
             continue
-        log.info("report missing", extra={"life": endpoint.life})
+        log.info("report missing", extra={"life": str(endpoint.life)})
         match await _probe(agent.endpoint_address):
             case Probe.REFUSED:
                 agent.endpoint_refuses()
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
@@ -36,6 +36,17 @@
         return "the store has dropped the changes since the last listing"
 
 
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """An entry of the store, or a part of one, that can't be used, and why.
+
+    Other writers may leave such entries. ``name`` is "" where not even that is known.
+    """
+
+    name: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationAt:
     """The newest configuration at a revision of the store; None if it has not changed
@@ -44,6 +55,7 @@
 
     configuration: Configuration | None
     revision: int
+    unreadable: tuple[Unreadable, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +64,7 @@
 
     members: list[Member]
     revision: int
+    unreadable: tuple[Unreadable, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +74,7 @@
     changed: list[Member]
     removed: list[str]
     revision: int
+    unreadable: tuple[Unreadable, ...] = ()
 
 
 FollowError = StoreError | HistoryGone
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_world.py
@@ -22,7 +22,7 @@
 from cornelspan_passthrough.balancer import Balancer
 from cornelspan_passthrough.configuration import Configuration, Route, Share
 from cornelspan_passthrough.delivering import release
-from cornelspan_passthrough.endpoint import Report
+from cornelspan_passthrough.endpoint import Life, Report
 from cornelspan_passthrough.heads import route_number
 from cornelspan_passthrough.members import AGENT, BALANCER, Member
 from cornelspan_passthrough.running_balancer import NEWCOMER_SECONDS
@@ -72,8 +72,8 @@
 class PacketWorld:
     """Daemons, endpoints and clients by address, and the datagrams between them.
 
-    ``report_capacity`` is the most slots that an endpoint reports. VMs in
-    ``frozen_until`` stand still until that time.
+    ``report_capacity`` is the most slots that an endpoint reports; without ``reports``
+    none does by itself. VMs in ``frozen_until`` stand still until that time.
     """
 
     seed: int
@@ -87,6 +87,7 @@
     sequences: dict[str, int] = field(default_factory=dict)
     routers: PacketRouters = field(default_factory=PacketRouters)
     report_capacity: int = 2
+    reports: bool = True
     frozen_until: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -329,13 +330,14 @@
     def _report(self) -> None:
         for address, endpoint in self.endpoints.items():
             agent = self.agents.get(address)
-            if agent is None or not endpoint.alive or self.is_frozen(address):
+            is_able = self.reports and endpoint.alive and not self.is_frozen(address)
+            if agent is None or not is_able:
                 continue
             sequence = self.sequences.get(address, 0) + 1
             self.sequences[address] = sequence
             draining = not endpoint.accepts
             capacity = min(endpoint.slots, self.report_capacity)
-            life = f"i-{address}-{endpoint.life}"
+            life = Life(f"i-{address}-{endpoint.life}")
             cold = max(0, round((endpoint.cold_until - self.now) * 1000))
             report = Report(life, endpoint.service, sequence, capacity, draining, cold)
             agent.report(report, self.now)
--- a/tests/test_shirakaba_store.py
+++ b/tests/test_shirakaba_store.py
@@ -91,6 +91,25 @@
     assert found.configuration is None
 
 
+async def test_an_odd_entry_hides_no_other(store, objects):
+    """Members are listed and watched while another writer's entry lies beside them.
+
+    One entry of another type made the whole answer unreadable, so no member came
+    through for as long as it lay in the store.
+    """
+    await store.put_member(ORDERS)
+    objects.by_kind["members"]["10.0.0.1"] = {"meta": {"name": 7}, "spec": 3}
+    objects.put("members", "10.0.0.2", {"role": "agent"})
+    listing = (await store.list_members()).unwrap()
+    assert listing.members == [ORDERS]
+    assert len(listing.unreadable) == 2
+    objects.put("members", "10.0.0.2", "odd")
+    await store.put_member(RECEIPTS)
+    changes = (await store.watch_members(listing.revision, 1.0)).unwrap()
+    assert changes.changed == [RECEIPTS]
+    assert [each.name for each in changes.unreadable] == ["10.0.0.2"]
+
+
 async def test_a_watch_without_a_change_ends_with_its_time(store):
     after = (await store.list_members()).unwrap().revision
     changes = (await store.watch_members(after, 0.1)).unwrap()
