--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment.py
@@ -19,6 +19,7 @@
 from cornelspan_passthrough.configuration import Configuration, Route, Share
 from cornelspan_passthrough.heads import route_number
 from cornelspan_standins.experiment_callers import Asked, Callers
+from cornelspan_standins.experiment_ideal import Oracle
 from cornelspan_standins.experiment_plan import (
     ExperimentPlan,
     FaultPlan,
@@ -76,6 +77,7 @@
         self.balancers = [f"10.0.0.{n + 1}" for n in range(plan.balancers)]
         self.agents: list[str] = []
         self.turned_away = 0
+        self.oracle = Oracle(self.world)
         self._start_fleet()
 
     def play(self) -> Outcome:
@@ -114,6 +116,8 @@
     def _start_balancer(self, address: str) -> None:
         balancer = self.world.add_balancer(address)
         balancer.choose = PLACINGS[self.plan.policy.placing]
+        if self.plan.policy.ideal:
+            self.oracle.guide(balancer)
 
     def _instruct(self, address: str) -> None:
         """Give an agent the plan's policy."""
@@ -199,6 +203,8 @@
                 seconds + self._jitter(),
                 lambda address=address: self._start_endpoint(address),
             )
+        if self.plan.policy.ideal:
+            self.oracle.tell_dead()
 
     def _start_endpoint(self, address: str) -> None:
         endpoint: PacketEndpoint = self.world.endpoints[address]
@@ -213,6 +219,9 @@
 
     def _restart_daemons(self, down: float) -> None:
         plan = self.plan
+        if plan.policy.ideal:
+            self.world.after(down, self._restart_at_once)
+            return
         for address in self.balancers:
             self.world.after(
                 down + plan.balancer_start_seconds + self._jitter(),
@@ -224,6 +233,14 @@
                 lambda address=address: self._restart_agent(address),
             )
 
+    def _restart_at_once(self) -> None:
+        """Start all daemons as the ideal system does, and tell of what is dead."""
+        for address in self.agents:
+            self._restart_agent(address)
+        for address in self.balancers:
+            self._start_balancer(address)
+        self.oracle.tell_dead()
+
     def _restart_agent(self, address: str) -> None:
         self.world.start_agent(address)
         self._instruct(address)
--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment_figures.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment_figures.py
@@ -22,14 +22,17 @@
 class Figures:
     """What an experiment came to; ``worth`` is earned over owed.
 
+    ``goal`` weighs it, its worst windows and its worst kind as the plan does.
     ``worst_windows`` is the worth of the two worst windows of two seconds, ``first``
     the share on time of the kind with the highest priority. ``recovery_seconds`` is
     from the end of the last outage until nine tenths of the earlier rate are answered,
     0 without one.
     """
 
+    goal: float
     worth: float
     worst_windows: float
+    worst_kind: float
     on_time: float
     failed: float
     first: float
@@ -58,10 +61,18 @@
     windows = sorted(each.worth for each in windows_of(outcome))
     answered = [each.seconds for each in asked if each.ending is not Ending.FAILED]
     milliseconds = np.array(answered or [0.0]) * 1000
+    worth = worth_share(plan, asked)
+    worst_windows = float(np.mean(windows[:WORST_WINDOWS]))
+    worst_kind = min(worth_share(plan, each) for each in by_kind(outcome))
+    weights = plan.goal
     highest = min(plan.requests, key=lambda kind: kind.priority).name
     return Figures(
-        worth=worth_share(plan, asked),
-        worst_windows=float(np.mean(windows[:WORST_WINDOWS])),
+        goal=weights.whole * worth
+        + weights.windows * worst_windows
+        + weights.kind * worst_kind,
+        worth=worth,
+        worst_windows=worst_windows,
+        worst_kind=worst_kind,
         on_time=_share(asked, Ending.ON_TIME),
         failed=_share(asked, Ending.FAILED),
         first=_share([each for each in asked if each.kind == highest], Ending.ON_TIME),
@@ -73,6 +84,14 @@
     )
 
 
+def by_kind(outcome: Outcome) -> list[list[Asked]]:
+    """Return the requests of each kind."""
+    return [
+        [each for each in outcome.asked if each.kind == kind.name]
+        for kind in outcome.plan.requests
+    ]
+
+
 def mean_figures(figures: list[Figures]) -> Figures:
     """Return the mean of several seeds' figures."""
     rows = [asdict(each) for each in figures]
--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
@@ -81,13 +81,23 @@
 
     ``order`` is that of the line before a full endpoint, ``none`` for no line.
     ``queued_requests`` may be at an endpoint beyond its slots. ``ejects`` passes over
-    endpoints that fail what they are sent.
+    endpoints that fail what they are sent. ``ideal`` stands for a system that starts in
+    no time and knows all at once: what it loses no system could save.
     """
 
     order: OrderName = "on-time"
     placing: PlacingName = "product"
     queued_requests: Annotated[int, Meta(ge=0, le=1000)] = 1
     ejects: bool = True
+    ideal: bool = False
+
+
+class GoalPlan(Checked, frozen=True, kw_only=True):
+    """How much parts of the whole weigh: all of it, worst windows, the worst kind."""
+
+    whole: Share = 0.75
+    windows: Share = 0.15
+    kind: Share = 0.1
 
 
 class ExperimentPlan(Checked, frozen=True, kw_only=True):
@@ -102,6 +112,7 @@
     requests: tuple[RequestPlan, ...]
     faults: tuple[FaultPlan, ...] = ()
     policy: PolicyPlan = PolicyPlan()
+    goal: GoalPlan = GoalPlan()
     balancers: Count = 4
     callers: Count = 90
     load: Factor = 1.0
--- a/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/packet_ends.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from cornelspan_passthrough.heads import flow_number
 from cornelspan_shirakaba import packets
 from cornelspan_shirakaba.packets import HEAD, HEAD_BYTES
 
@@ -299,6 +300,11 @@
             packet = self._packet(packets.WIRE_RST, self.initial, 0, b"")
             self.send(encode(packet))
 
+    @property
+    def flow(self) -> int:
+        """The flow's number, as daemons have it."""
+        return flow_number(self.address, self.port, ROUTE_ADDRESS, self.route_port)
+
     @property
     def is_over(self) -> bool:
         """Whether the flow has ended for the client."""
