Serve packets, and take reports, before an agent is wholly imported

Change: what carries packets imports neither the event loop nor HTTP; an agent polls its sockets while a thread imports the rest, and listens for its endpoint's calls from the start, so that the first report waits instead of being refused. Balancers import straight on: serving beside it, they had their configuration 30 ms later.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -4,7 +4,11 @@
 a flow. Beside that it records the owners of the flows that it is home of.
 """
 
+import socket
+import time
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from ipaddress import IPv4Address
 
@@ -15,7 +19,7 @@
 from cornelspan_common.expiring import Expiring
 from cornelspan_common.logs import get_log, set_level
 from cornelspan_passthrough import hops
-from cornelspan_passthrough.datagrams import DatagramSocket
+from cornelspan_passthrough.datagrams import DatagramSocket, datagram_socket
 from cornelspan_passthrough.delivering import (
     answer_ask,
     deliver,
@@ -38,6 +42,7 @@
 )
 from cornelspan_passthrough.histograms import Histogram
 from cornelspan_passthrough.judging import is_ejected, judge_packet, probe_refusal
+from cornelspan_passthrough.listening import listening
 from cornelspan_passthrough.lives import end_dead_flow, end_flows, log_endpoint
 from cornelspan_passthrough.members import service_tag
 from cornelspan_passthrough.pulses import DOWN, DRAINING, Ping, Pong
@@ -69,7 +74,8 @@
     ``started_at`` is the loop's time of the start: flows that opened earlier are
     unknown here while the endpoint may hold them. ``asked`` holds each flow in doubt,
     ``balancers`` those that have pinged. ``queued_requests`` may be at the endpoint
-    beyond those it works on.
+    beyond those it works on. ``reports`` takes the endpoint's calls; it listens from
+    the start, though they are answered later.
     """
 
     settings: PassthroughAgentSettings
@@ -77,6 +83,7 @@
     local: DatagramSocket
     daemons: DatagramSocket
     started_at: float
+    reports: socket.socket | None = None
     counts: Counter[str] = field(default_factory=Counter)
     asked: dict[int, Doubt] = field(default_factory=dict)
     balancers: set[str] = field(default_factory=set)
@@ -102,6 +109,11 @@
         self.endpoint_address = socket_address(settings.endpoint)
         self.client_port = socket_address(settings.packets)[1]
 
+    @property
+    def sockets(self) -> tuple[DatagramSocket, ...]:
+        """The sockets that it reads."""
+        return self.local, self.daemons
+
     def take_settings(self, settings: PassthroughAgentSettings) -> None:
         """Take in settings that have changed."""
         self.settings = settings
@@ -358,3 +370,31 @@
     def send(self, address: str, data: bytes) -> None:
         """Send a datagram to another daemon."""
         self.daemons.send(data, (address, self.settings.internal_port))
+
+
+@contextmanager
+def open_agent(
+    settings: PassthroughAgentSettings, codec: PacketCodec
+) -> Iterator[Agent]:
+    """Yield an agent whose sockets are open until the context ends.
+
+    Times are those of the steady clock, which is the event loop's as well.
+
+    The endpoint reports as soon as it has started, which may be before this process can
+    answer. Its connection refused, it tries again up to 0.8 s later, and until then its
+    slots are unknown and some of them unused; taken up by the socket, the report waits
+    for its answer.
+    """
+    now = time.monotonic
+    internal = (settings.address, settings.internal_port)
+    with (
+        datagram_socket(socket_address(settings.outbound)) as local,
+        datagram_socket(internal) as daemons,
+        listening(socket_address(settings.reports)) as reports,
+    ):
+        agent = Agent(settings, codec, local, daemons, now(), reports)
+        local.received = lambda data, sender: agent.from_endpoint(data, now())
+        daemons.received = lambda data, sender: agent.from_daemon(
+            data, sender[0], now()
+        )
+        yield agent
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/datagrams.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/datagrams.py
@@ -1,6 +1,5 @@
-"""UDP sockets on the event loop."""
+"""UDP sockets, read from by whoever polls them; see ``reading`` for the event loop."""
 
-import asyncio
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -53,18 +52,14 @@
 
 @contextmanager
 def datagram_socket(address: tuple[str, int]) -> Iterator[DatagramSocket]:
-    """Yield a socket that is read from until the context ends."""
-    loop = asyncio.get_running_loop()
+    """Yield a socket that is open until the context ends."""
     bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
         bound.setblocking(False)
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         bound.bind(address)
-        opened = DatagramSocket(bound)
-        loop.add_reader(bound.fileno(), opened.read)
-        yield opened
+        yield DatagramSocket(bound)
     finally:
-        loop.remove_reader(bound.fileno())
         bound.close()
 
 
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/http.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/http.py
@@ -1,5 +1,6 @@
 """A small HTTP server on tornado: a function from a request to an answer."""
 
+import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -7,11 +8,19 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from cornelspan_passthrough.calls import Answer, Call, Handler
+from cornelspan_passthrough.listening import listening
 
 
 @contextmanager
 def http_server(address: tuple[str, int], handler: Handler) -> Iterator[None]:
-    """Answer calls at an address by a function until the context ends.
+    """Answer calls at an address by a function until the context ends."""
+    with listening(address) as listener, http_answers(listener, handler):
+        yield
+
+
+@contextmanager
+def http_answers(listener: socket.socket, handler: Handler) -> Iterator[None]:
+    """Answer calls that come to a socket by a function until the context ends.
 
     The function is called as soon as a request is whole and must not wait. Tornado's
     web framework is left out: it costs a megabyte and half the time of each call.
@@ -22,7 +31,7 @@
         _answer(request, handler(call))
 
     server = HTTPServer(serve)
-    server.listen(address[1], address[0])
+    server.add_socket(listener)
     try:
         yield
     finally:
--- /dev/null
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/listening.py
@@ -0,0 +1,22 @@
+"""Sockets that listen for HTTP calls before there is anything to answer them."""
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+# Calls of one endpoint, of routers, and of a few peers at once.
+BACKLOG = 64
+
+
+@contextmanager
+def listening(address: tuple[str, int]) -> Iterator[socket.socket]:
+    """Yield a socket that takes connections until the context ends."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        yield listener
+    finally:
+        listener.close()
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_agent.py
@@ -11,19 +11,18 @@
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.agent import Agent
 from cornelspan_passthrough.calls import JSON, NOT_FOUND, Answer, Call
-from cornelspan_passthrough.datagrams import datagram_socket
 from cornelspan_passthrough.delivering import release
 from cornelspan_passthrough.endpoint import Hearing, Life, Report
 from cornelspan_passthrough.greeting import greet
-from cornelspan_passthrough.heads import PacketCodec
 from cornelspan_passthrough.hops import GONE
-from cornelspan_passthrough.importing import import_aside
+from cornelspan_passthrough.http import http_answers, http_server
 from cornelspan_passthrough.listing import list_member
 from cornelspan_passthrough.members import AGENT, Member
 from cornelspan_passthrough.metrics import agent_page
 from cornelspan_passthrough.pulses import DOWN
+from cornelspan_passthrough.reading import reading
 from cornelspan_passthrough.reloading import Orders, follow_settings
-from cornelspan_passthrough.settings import PassthroughAgentSettings, socket_address
+from cornelspan_passthrough.settings import PassthroughAgentSettings
 from cornelspan_passthrough.store import Backoff, OpenStore, PlatformStore
 
 SWEEP_SECONDS = 2.0
@@ -72,27 +71,19 @@
 
 
 async def run_agent(
-    settings: PassthroughAgentSettings,
-    codec: PacketCodec,
-    open_store: OpenStore,
-    read_call: ReadCall,
-    orders: Orders,
+    agent: Agent, open_store: OpenStore, read_call: ReadCall, orders: Orders
 ) -> None:
     """Run an agent until it is told to stop.
 
-    Packets come first: they are served before what answers HTTP is even imported. An
-    agent that comes up beside its endpoint is waited for by every client of it, while
-    the endpoint's report and the listing may be a few hundred milliseconds later.
-
     Args:
-        settings: Its settings.
-        codec: The packets' form.
+        agent: The agent; its sockets are open and may have served packets already.
         open_store: Returns the platform's store.
         read_call: What an endpoint's call means; None for one that is unknown.
         orders: When to stop, and where the settings are.
     """
-    with ExitStack() as sockets:
-        agent = open_agent(settings, codec, sockets)
+    settings = agent.settings
+    with ExitStack() as serving:
+        serving.enter_context(reading(agent.sockets))
         async with task_group() as tasks:
             member = _member(settings)
             tasks.start(_sweep(agent), name="sweep")
@@ -101,9 +92,8 @@
                 greet(settings, member, agent.daemons, lambda: agent.pinged_at > 0),
                 name="greeting",
             )
-            log.info("packets served", extra={"address": settings.address})
-            await _answer_calls(agent, read_call, sockets)
-            store = await open_store()
+            _answer_calls(agent, read_call, serving)
+            store = open_store(settings.store)
             tasks.start(_stay_listed(agent, member, store), name="listing")
             tasks.start(_watch_endpoint(agent), name="endpoint")
             tasks.start(
@@ -115,35 +105,19 @@
     log.info("stopped", extra={"address": settings.address})
 
 
-def open_agent(
-    settings: PassthroughAgentSettings, codec: PacketCodec, sockets: ExitStack
-) -> Agent:
-    """Open an agent's sockets and return its state."""
-    now = asyncio.get_running_loop().time
-    local = sockets.enter_context(datagram_socket(socket_address(settings.outbound)))
-    daemons = sockets.enter_context(
-        datagram_socket((settings.address, settings.internal_port))
-    )
-    agent = Agent(settings, codec, local, daemons, now())
-    local.received = lambda data, sender: agent.from_endpoint(data, now())
-    daemons.received = lambda data, sender: agent.from_daemon(data, sender[0], now())
-    return agent
-
-
-async def _answer_calls(agent: Agent, read_call: ReadCall, sockets: ExitStack) -> None:
+def _answer_calls(agent: Agent, read_call: ReadCall, serving: ExitStack) -> None:
     """Answer the endpoint's calls, and those for metrics."""
     settings = agent.settings
     now = asyncio.get_running_loop().time
-    http = await import_aside("cornelspan_passthrough.http")
-    sockets.enter_context(
-        http.http_server(
-            socket_address(settings.reports),
-            lambda call: answer(agent, read_call(call), now()),
+    if agent.reports is not None:
+        serving.enter_context(
+            http_answers(
+                agent.reports, lambda call: answer(agent, read_call(call), now())
+            )
         )
-    )
     if settings.metrics_port is not None:
         address = (settings.address, settings.metrics_port)
-        sockets.enter_context(http.http_server(address, lambda call: agent_page(agent)))
+        serving.enter_context(http_server(address, lambda call: agent_page(agent)))
 
 
 def _member(settings: PassthroughAgentSettings) -> Member:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/running_balancer.py
@@ -1,7 +1,6 @@
 """Runs a pass-through balancer: sockets, the tasks that follow the store, the stop."""
 
 import asyncio
-import random
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -10,7 +9,7 @@
 from cornelspan_common.tasks import task_group
 from cornelspan_passthrough.balancer import Balancer
 from cornelspan_passthrough.calls import BINARY, NOT_FOUND, Answer, Call, Handler
-from cornelspan_passthrough.datagrams import datagram_socket
+from cornelspan_passthrough.fetching import fetch_from_peer
 from cornelspan_passthrough.following import (
     catch_up,
     follow_configuration,
@@ -18,13 +17,13 @@
     prune,
 )
 from cornelspan_passthrough.greeting import greet
-from cornelspan_passthrough.heads import PacketCodec
-from cornelspan_passthrough.importing import import_aside
+from cornelspan_passthrough.http import http_server
 from cornelspan_passthrough.listing import list_member
 from cornelspan_passthrough.members import BALANCER, Member
 from cornelspan_passthrough.metrics import balancer_page
+from cornelspan_passthrough.reading import reading
 from cornelspan_passthrough.reloading import Orders, follow_settings
-from cornelspan_passthrough.settings import PassthroughBalancerSettings, socket_address
+from cornelspan_passthrough.settings import socket_address
 from cornelspan_passthrough.snapshots import SNAPSHOT_PATH, encode_snapshot
 from cornelspan_passthrough.store import (
     Backoff,
@@ -49,32 +48,28 @@
 
 
 async def run_balancer(
-    settings: PassthroughBalancerSettings,
-    codec: PacketCodec,
+    balancer: Balancer,
     open_store: OpenStore,
     asks_readiness: ReadyPath,
     orders: Orders,
 ) -> None:
     """Run a balancer until it is told to stop, then until routers have let go of it.
 
-    Packets that come while HTTP is still being imported and the configuration read
-    wait here for up to a second, instead of for their client's next repeat.
+    Packets that come before the configuration is read wait here for up to a second,
+    instead of for their client's next repeat.
 
     Args:
-        settings: Its settings.
-        codec: The packets' form.
+        balancer: The balancer; its sockets are open and may have taken packets already.
         open_store: Returns the platform's store.
         asks_readiness: Whether a call asks for the balancer's readiness.
         orders: When to stop, and where the settings are.
     """
-    with ExitStack() as sockets:
-        balancer = open_balancer(settings, codec, sockets)
+    settings = balancer.settings
+    with ExitStack() as serving:
+        serving.enter_context(reading(balancer.sockets))
         async with task_group() as tasks:
             tasks.start(_tick(balancer), name="tick")
-            log.info("packets taken", extra={"address": settings.address})
-            await _answer_calls(balancer, asks_readiness, sockets)
-            store = await open_store()
-            fetching = await import_aside("cornelspan_passthrough.fetching")
+            store = open_store(settings.store)
             backoffs = [Backoff(balancer.chance) for _ in range(3)]
             tasks.start(
                 follow_configuration(balancer, store, backoffs[0]),
@@ -83,10 +78,7 @@
             tasks.start(follow_members(balancer, store, backoffs[1]), name="members")
             member = Member(settings.address, BALANCER, settings.datacentre)
             tasks.start(list_member(store, member, backoffs[2]), name="listing")
-            tasks.start(
-                catch_up(balancer, store, fetching.fetch_from_peer),
-                name="catching up",
-            )
+            tasks.start(catch_up(balancer, store, fetch_from_peer), name="catching up")
             tasks.start(_ping(balancer), name="pings")
             tasks.start(
                 greet(
@@ -102,33 +94,18 @@
                 follow_settings(orders, settings, balancer.take_settings),
                 name="settings",
             )
+            _answer_calls(balancer, asks_readiness, serving)
             log.info("started", extra={"address": settings.address})
             await orders.stop.wait()
             await _leave(balancer)
     log.info("stopped", extra={"address": settings.address})
 
 
-def open_balancer(
-    settings: PassthroughBalancerSettings, codec: PacketCodec, sockets: ExitStack
-) -> Balancer:
-    """Open a balancer's sockets and return its state."""
-    now = asyncio.get_running_loop().time
-    clients = sockets.enter_context(datagram_socket(socket_address(settings.packets)))
-    daemons = sockets.enter_context(
-        datagram_socket((settings.address, settings.internal_port))
-    )
-    balancer = Balancer(settings, codec, clients, daemons, random.Random())
-    clients.received = lambda data, sender: balancer.from_client(data, now())
-    daemons.received = lambda data, sender: balancer.from_daemon(data, sender[0], now())
-    return balancer
-
-
-async def _answer_calls(
-    balancer: Balancer, asks_readiness: ReadyPath, sockets: ExitStack
+def _answer_calls(
+    balancer: Balancer, asks_readiness: ReadyPath, serving: ExitStack
 ) -> None:
     """Answer the routers' probes, and calls of peers and for metrics."""
     settings = balancer.settings
-    http = await import_aside("cornelspan_passthrough.http")
     handlers: dict[tuple[str, int], Handler] = {
         socket_address(settings.ready): lambda call: _readiness(
             balancer, call, asks_readiness
@@ -141,7 +118,7 @@
         address = (settings.address, settings.metrics_port)
         handlers[address] = lambda call: balancer_page(balancer)
     for address, handler in handlers.items():
-        sockets.enter_context(http.http_server(address, handler))
+        serving.enter_context(http_server(address, handler))
 
 
 def _readiness(balancer: Balancer, call: Call, asks_readiness: ReadyPath) -> Answer:
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/store.py
@@ -12,6 +12,7 @@
 from cornelspan_common.store_errors import StoreError
 from cornelspan_passthrough.configuration import Configuration
 from cornelspan_passthrough.members import Member
+from cornelspan_passthrough.settings import ObjectStoreSettings
 
 # After a refusal the next call waits this long, twice as long each time up to the most,
 # and up to half as long again by chance, so that a store that comes back is not met by
@@ -106,7 +107,7 @@
         """Take a member off the list."""
 
 
-OpenStore = Callable[[], Awaitable[PlatformStore]]
+OpenStore = Callable[[ObjectStoreSettings], PlatformStore]
 
 
 class Backoff:
--- /dev/null
+++ b/tests/test_passthrough_early.py
@@ -0,0 +1,115 @@
+"""A daemon serves packets, and takes calls, before all of it is imported."""
+
+import asyncio
+import socket
+import sys
+import threading
+
+import pytest
+
+from cornelspan_passthrough.calls import Answer
+from cornelspan_passthrough.datagrams import datagram_socket
+from cornelspan_passthrough.early import import_while_serving
+from cornelspan_passthrough.http import http_answers
+from cornelspan_passthrough.listening import listening
+
+WAIT = """
+import builtins
+builtins.may_go_on.wait()
+value = 7
+"""
+
+
+@pytest.fixture
+def slow_module(tmp_path, monkeypatch):
+    """Return the name of a module whose import waits, and the event that ends it."""
+    may_go_on = threading.Event()
+    monkeypatch.setattr("builtins.may_go_on", may_go_on, raising=False)
+    monkeypatch.syspath_prepend(tmp_path)
+    (tmp_path / "slow_part.py").write_text(WAIT)
+    yield "slow_part", may_go_on
+    sys.modules.pop("slow_part", None)
+
+
+def send(address, data):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(data, address)
+
+
+def test_packets_are_served_while_a_module_is_imported(slow_module, base_port):
+    """A client's packet is answered though its agent is still starting.
+
+    The module waits until the packet has been handed on; served only afterwards, it
+    would never come to an end.
+    """
+    name, may_go_on = slow_module
+    address = ("127.0.0.1", base_port)
+    seen = []
+    with datagram_socket(address) as opened:
+
+        def received(data, sender):
+            seen.append(data)
+            may_go_on.set()
+
+        opened.received = received
+        send(address, b"packet")
+        module = import_while_serving(name, [opened], lambda now: None)
+    assert seen == [b"packet"]
+    assert module.value == 7
+
+
+def test_a_packet_that_raises_stops_neither_serving_nor_the_import(
+    slow_module, base_port
+):
+    name, may_go_on = slow_module
+    address = ("127.0.0.1", base_port)
+    seen = []
+    with datagram_socket(address) as opened:
+
+        def received(data, sender):
+            seen.append(data)
+            if len(seen) == 2:
+                may_go_on.set()
+            raise ValueError("odd")
+
+        opened.received = received
+        send(address, b"one")
+        send(address, b"two")
+        import_while_serving(name, [opened], lambda now: None)
+    assert seen == [b"one", b"two"]
+
+
+def test_time_passes_while_a_module_is_imported(slow_module):
+    name, may_go_on = slow_module
+    ticks = []
+
+    def tick(now):
+        ticks.append(now)
+        if len(ticks) == 3:
+            may_go_on.set()
+
+    import_while_serving(name, [], tick)
+    assert ticks == sorted(ticks)
+
+
+def test_an_import_that_fails_ends_the_start():
+    with pytest.raises(ModuleNotFoundError):
+        import_while_serving("cornelspan_no_such_part", [], lambda now: None)
+
+
+async def test_a_call_from_before_the_server_is_answered_by_it(base_port):
+    """An endpoint's first report is acknowledged though it came too early.
+
+    It connects while its agent still imports what answers. Refused, it would try again
+    later, and its slots would be unknown until then.
+    """
+    address = ("127.0.0.1", base_port)
+    with listening(address) as listener:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /report HTTP/1.1\r\nHost: agent\r\n\r\n")
+        await writer.drain()
+        with http_answers(listener, lambda call: Answer(200, call.path.encode())):
+            async with asyncio.timeout(20):
+                answer = await reader.readuntil(b"/report")
+        writer.close()
+    assert answer.startswith(b"HTTP/1.1 200")
