--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment.py
@@ -18,6 +18,7 @@
 from cornelspan_common.ejection import EjectionPolicy
 from cornelspan_passthrough.configuration import Configuration, Route, Share
 from cornelspan_passthrough.heads import route_number
+from cornelspan_standins.experiment_ablations import without
 from cornelspan_standins.experiment_callers import Asked, Callers
 from cornelspan_standins.experiment_ideal import Oracle
 from cornelspan_standins.experiment_plan import (
@@ -50,7 +51,8 @@
 
 def play(plan: ExperimentPlan) -> Outcome:
     """Play a plan from its first arrival until the last request has ended."""
-    return Experiment(plan).play()
+    with without(plan.policy.without.split("+") if plan.policy.without else []):
+        return Experiment(plan).play()
 
 
 class Experiment:
--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
@@ -16,6 +16,13 @@
 Factor = Annotated[float, Meta(gt=0, le=100)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 
+# The mechanisms of ``experiment_ablations``.
+MECHANISM = (
+    "gathering|refusals|handing-on|holding|dead-flows|homes|doubts|lost-requests"
+    "|expiry|cold-starts|idle-flows|paces"
+)
+WITHOUT = rf"^(({MECHANISM})(\+({MECHANISM}))*)?$"
+
 OrderName = Literal["on-time", "due", "deadline", "age", "none"]
 PlacingName = Literal["product", "random", "fewest-flows"]
 
@@ -82,7 +89,8 @@
     ``order`` is that of the line before a full endpoint, ``none`` for no line.
     ``queued_requests`` may be at an endpoint beyond its slots. ``ejects`` passes over
     endpoints that fail what they are sent. ``ideal`` stands for a system that starts in
-    no time and knows all at once: what it loses no system could save.
+    no time and knows all at once: what it loses no system could save. ``without`` names
+    mechanisms that are taken out, joined by ``+``; see ``experiment_ablations``.
     """
 
     order: OrderName = "on-time"
@@ -90,6 +98,7 @@
     queued_requests: Annotated[int, Meta(ge=0, le=1000)] = 1
     ejects: bool = True
     ideal: bool = False
+    without: Annotated[str, Meta(pattern=WITHOUT)] = ""
 
 
 class GoalPlan(Checked, frozen=True, kw_only=True):
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -11,6 +11,7 @@
 
 from cornelspan_common.settings import load_settings
 from cornelspan_standins.experiment import play
+from cornelspan_standins.experiment_ablations import MECHANISMS
 from cornelspan_standins.experiment_callers import Ending
 from cornelspan_standins.experiment_figures import figures_of, windows_of
 from cornelspan_standins.experiment_plan import ExperimentPlan, FaultPlan, PolicyPlan
@@ -106,6 +107,46 @@
     assert not failed
 
 
+@pytest.fixture
+def slow_third():
+    """Return a plan with a third of the endpoints eight times as slow for six seconds.
+
+    Bookings there have a flow each, and the endpoints carry what comes.
+    """
+    found = load_settings(str(PLANS / "foil-press.json"), ExperimentPlan).unwrap()
+    slow = FaultPlan(kind="slow", at=3.0, lasts=6.0, share=0.33, factor=8.0)
+    return msgspec.structs.replace(found, faults=(slow,), seconds=10.0)
+
+
+def test_bookings_are_on_time_while_a_third_of_the_endpoints_is_slow(slow_third):
+    """Callers don't notice that some backend servers are eight times as slow.
+
+    Placed by what runs alone, a slow endpoint looks as good as a sound one.
+    """
+    ours = figures_of(play(slow_third))
+    heedless = PolicyPlan(without="paces")
+    theirs = figures_of(play(replaced(slow_third, policy=heedless)))
+    assert ours.first >= 0.98
+    assert ours.first > theirs.first
+
+
+def test_no_system_does_better_than_the_ideal_one(plan):
+    """What callers lose with the ideal system is what nobody could save."""
+    outage = FaultPlan(kind="power", at=3.0, lasts=1.0)
+    crowd = replaced(plan, faults=(outage,), seconds=8.0)
+    ideal = replaced(crowd, policy=PolicyPlan(ideal=True))
+    assert figures_of(play(ideal)).worth > figures_of(play(crowd)).worth
+
+
+@pytest.mark.parametrize("name", sorted(MECHANISMS))
+def test_each_mechanism_can_be_taken_out_and_is_back_afterwards(plan, name):
+    short = replaced(plan, seconds=1.0)
+    before = play(short).asked
+    played = play(replaced(short, policy=PolicyPlan(without=name)))
+    assert played.asked
+    assert play(short).asked == before
+
+
 def test_values_vary_by_path(plan):
     variants = vary(
         plan, ["policy.order=on-time,age", "requests.0.per_second=10"]
@@ -121,6 +162,7 @@
         ("policy.other=1", "there is no such setting"),
         ("requests.9.worth=1", "there is no such setting"),
         ("policy.order=fast", "Invalid enum value"),
+        ("policy.without=everything", "policy.without"),
     ],
 )
 def test_a_variation_that_cannot_be_is_refused_with_its_reason(plan, text, reason):
