Look for lost requests also when nothing waits

A mute endpoint's request counted as running for as long as nothing waited at its agent, so its pace grew without end: it was passed over without being judged, and would not have been tried again had it recovered.

Loops over running requests no longer copy them.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/delivering.py
@@ -84,9 +84,9 @@
 
 def release(agent: "Agent", now: float) -> None:
     """Hand over requests that wait, as far as there is room."""
+    judge_lost_requests(agent, now)
     if not agent.waiting:
         return
-    judge_lost_requests(agent, now)
     while agent.flows.running < room(agent):
         for expired in agent.waiting.forget_expired(now):
             extra = {"flow": flow_text(expired), "reason": "time budget spent"}
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/flows.py
@@ -203,7 +203,8 @@
         usual = LOST_REQUEST_PACES * self.pace_seconds
         limit = max(LOST_REQUEST_SECONDS, usual)
         lost = 0
-        for flow, began_at in list(self.requests.items()):
+        while self.requests:
+            flow, began_at = next(iter(self.requests.items()))
             if now - began_at <= limit:
                 break
             owned = self.by_flow[flow]
