Leave cold starts to the paces

A cold endpoint counts by its pace as any other. That a life's first report tells of a cold start is still used to know that it holds no flows of before.

--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/agent.py
@@ -243,7 +243,6 @@
             endpoint.capacity,
             self.flows.running + len(self.waiting),
             self.flows.open_flows,
-            endpoint.cold_milliseconds(now),
             is_ejected(self, now),
             round(self.flows.pace_now(now) * MILLISECONDS),
         )
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/endpoint.py
@@ -98,7 +98,6 @@
     is_foreign: bool = False
     is_doubted: bool = False
     capacity: int = 1
-    cold_until: float = 0.0
     reported_at: float | None = None
     ended: dict[Life, int] = field(default_factory=dict)
 
@@ -168,10 +167,6 @@
         """Whether it neither reports nor takes connections."""
         return self.unanswered_probes >= SILENT_PROBES
 
-    def cold_milliseconds(self, now: float) -> int:
-        """How much longer the endpoint is slow after its start."""
-        return max(0, int((self.cold_until - now) * 1000))
-
     def _hear_foreign(self, report: Report) -> Hearing:
         """Take in a report of another service; one life is of one service."""
         if report.life == self.life:
@@ -204,7 +199,6 @@
     def _take_figures(self, report: Report, now: float) -> None:
         self.sequence = report.sequence
         self.capacity = report.capacity
-        self.cold_until = now + report.cold_milliseconds / 1000
         self.reported_at = now
         self.unanswered_probes = 0
         self.is_foreign = False
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/placing.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/placing.py
@@ -16,8 +16,6 @@
 IDLE_FLOW_WEIGHT = 0.2
 # A flow placed since the endpoint's last word will bring its first request at once.
 PLACED_WEIGHT = 1.0
-# An endpoint that is still cold takes this much longer for a request.
-COLD_FACTOR = 1.6
 DEFAULT_CAPACITY = 1
 # From this many times the usual pace on an endpoint is taken to be slow: the pace of
 # ten answers strays by less than half of itself. With a third of the endpoints eight
@@ -111,9 +109,10 @@
     """Return how many times the usual an endpoint takes for a request.
 
     Paces differ by what an endpoint happened to get of late. Only one that is far from
-    its like is slow; with every difference heeded, flows would follow chance.
+    its like is slow; with every difference heeded, flows would follow chance. An
+    endpoint in its cold start counts by its pace, too: weighed by what it reports of
+    its start, flows went to its busier peers and no caller was better off.
     """
-    cold = COLD_FACTOR if pong.cold_milliseconds > 0 else 1.0
     if not usual or pong.pace_milliseconds < SLOW_RATIO * usual:
-        return cold
-    return max(cold, pong.pace_milliseconds / usual)
+        return 1.0
+    return pong.pace_milliseconds / usual
--- a/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
+++ b/packages/cornelspan-passthrough/src/cornelspan_passthrough/pulses.py
@@ -33,8 +33,7 @@
 
     ``state`` is that of its endpoint, of this module. ``running`` counts requests that
     the endpoint works on or queues, ``flows`` open flows, ``capacity`` slots.
-    ``cold_milliseconds`` tells how much longer the endpoint is slow after its start,
-    ``is_ejected`` that it fails what it is sent, whatever it reports, and
+    ``is_ejected`` tells that it fails what it is sent, whatever it reports, and
     ``pace_milliseconds`` how long it takes for a request now, 0 if that is not known.
     """
 
@@ -45,7 +44,6 @@
     capacity: int
     running: int
     flows: int
-    cold_milliseconds: int
     is_ejected: bool = False
     pace_milliseconds: int = 0
 
--- a/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/experiment_plan.py
@@ -19,7 +19,7 @@
 # The mechanisms of ``experiment_ablations``.
 MECHANISM = (
     "gathering|refusals|handing-on|holding|dead-flows|homes|doubts|lost-requests"
-    "|expiry|cold-starts|idle-flows|paces"
+    "|expiry|idle-flows|paces"
 )
 WITHOUT = rf"^(({MECHANISM})(\+({MECHANISM}))*)?$"
 
