Don't compare endpoints by the time of one or two requests

By reading: its first request met the busy VM, its mean was told at once and taken for slow (over 1.6 times the usual), a slow endpoint gets nothing while others have room, and a measure is forgotten only after ten seconds. Ruled out: no measure at all (taken for the usual one), the ramp (its end is told).

Change: a mean counts from three requests on.

Before and after: test_one_slow_request_does_not_keep_an_endpoint_without_work fails on the code before and passes.

--- a/packages/cornelspan-requests/src/cornelspan_requests/dispatch.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/dispatch.py
@@ -153,7 +153,7 @@
         if times.count != self.measured:
             self.measured = times.count
             self.measured_at = now
-        if not times.count or now - self.measured_at > MEASURE_SECONDS:
+        if not times.is_telling or now - self.measured_at > MEASURE_SECONDS:
             return UNMEASURED
         return times.mean / self.endpoint.ramp.share(now, profile.slow_start_seconds)
 
--- a/packages/cornelspan-requests/src/cornelspan_requests/servicetimes.py
+++ b/packages/cornelspan-requests/src/cornelspan_requests/servicetimes.py
@@ -4,6 +4,10 @@
 
 WEIGHT = 0.05
 WITHOUT_MEASURE = 0.05
+# A single request that met a busy VM or a cold start says little of the next ones.
+# Believed, it made an endpoint seem slow, which then got no request that could have
+# shown better until its measure was forgotten, ten seconds later.
+LEAST_MEASURES = 3
 
 
 @dataclass
@@ -21,6 +25,11 @@
         self.deviation += weight * (abs(seconds - self.mean) - self.deviation)
         self.mean += weight * (seconds - self.mean)
 
+    @property
+    def is_telling(self) -> bool:
+        """Whether the mean is of enough requests to compare endpoints by."""
+        return self.count >= LEAST_MEASURES
+
     @property
     def needed(self) -> float:
         """Seconds to leave for a request that shall end in time more often than not."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 from tornado.iostream import StreamClosedError
 
 from cornelspan_control.profiles import Profile, RequestPolicy
+from cornelspan_ownership.placement import UNMEASURED
 from http_fakes import Caller, fake_server, running_gateway
 
 
@@ -21,6 +22,20 @@
     assert held.streams == set()
 
 
+async def test_one_slow_request_does_not_keep_an_endpoint_without_work(port):
+    # An endpoint's first request after its start meets a busy VM. Told at once as the
+    # time of all its requests, it would look slow to its peers, which then send it
+    # nothing that could show better until that is forgotten, ten seconds later.
+    async with fake_server(port, seconds=0.05), running_gateway(port) as held:
+        caller = Caller(held)
+        await caller.ask(body=b"slow")
+        assert held.own_load().mean_seconds == UNMEASURED
+        for number in range(2):
+            await caller.ask(body=str(number).encode())
+        assert held.own_load().mean_seconds > UNMEASURED
+        await caller.close()
+
+
 async def test_nobody_listening_is_not_run(port):
     async with running_gateway(port) as held:
         caller = Caller(held)
