Begin an epoch when another relay is judged dead

Traced by the state of all nodes at the failure: every node is at epoch 1, and both the paused primary and its substitute had written the roster under it. Both begin with the first epoch when they start together; the substitute takes a new one when it sees that it lost and regained its office, and its loop had not turned in the moment for which the other was the primary. So the words of the paused one, when it wakes, are as good as the substitute's. It is no question of when the test reads: waiting ten seconds more for epoch 2 failed as well.

Change: who judges another relay dead begins an epoch first.

Before and after: test_a_primary_that_was_one_unseen_leaves_no_epoch_behind fails on the code before and passes.

--- a/packages/cornelspan-control/src/cornelspan_control/suspicion.py
+++ b/packages/cornelspan-control/src/cornelspan_control/suspicion.py
@@ -19,6 +19,8 @@
 from cornelspan_control.plane import Plane
 
 PARALLEL_JUDGEMENTS = 16
+# Only balancers are relays.
+RELAY_ROLE = "balancer"
 
 log = get_log(__name__)
 
@@ -84,15 +86,19 @@
             self.hurried.clear()
         for datacentre in offices:
             epoch = plane.epochs.get(datacentre, 0)
-            if self.held.get(datacentre) == epoch:
-                continue
-            plane.epochs[datacentre] = epoch + 1
-            self.held[datacentre] = epoch + 1
-            plane.tell_all(Membership(datacentre, epoch + 1, (), ()))
+            if self.held.get(datacentre) != epoch:
+                self._begin_epoch(datacentre)
         for datacentre in set(self.held) - set(offices):
             del self.held[datacentre]
         return offices
 
+    def _begin_epoch(self, datacentre: str) -> None:
+        """Judge on under an epoch that nobody else has had."""
+        epoch = self.plane.epochs.get(datacentre, 0) + 1
+        self.plane.epochs[datacentre] = epoch
+        self.held[datacentre] = epoch
+        self.plane.tell_all(Membership(datacentre, epoch, (), ()))
+
     def _forgive(self, now: float) -> None:
         log.warning("this process was paused", extra={"relay": self.plane.name})
         self.hurried.clear()
@@ -127,6 +133,11 @@
             return
         self.verdicts += 1
         log.warning("member judged dead", extra={"member": member.name})
+        if member.role == RELAY_ROLE:
+            # It may have been the primary for less than a turn of this loop, under the
+            # epoch that this relay holds: two that start together both begin with the
+            # first. Paused, it would speak under it when it wakes, and be believed.
+            self._begin_epoch(member.datacentre)
         gone = Gone(member.name, member.incarnation)
         self.plane.remove(gone, member.datacentre)
 
--- a/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
+++ b/packages/cornelspan-standins/src/cornelspan_standins/soak_fleet.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -24,6 +25,7 @@
 CLIENTS = "127.0.9.1"
 REPORT_SECONDS = 0.5
 CALL_SECONDS = 1.0
+MILLISECONDS = 1000
 SLOTS = 2
 QUEUE = 8
 # An orderly stop may take a balancer its grace, and a busy machine a little longer.
@@ -59,8 +61,8 @@
     """One VM: its daemon, and its endpoint beside an agent.
 
     ``is_stopping`` says that the soak has asked the process to end, ``reporting`` is
-    the task that reports for the endpoint, ``life`` counts the endpoint's lives and
-    ``sequence`` its reports.
+    the task that reports for the endpoint, ``born`` the Unix millisecond at which the
+    endpoint's present life began, and ``sequence`` counts its reports.
     """
 
     address: str
@@ -71,7 +73,7 @@
     endpoint: PacketEndpoint | None = None
     listener: asyncio.Server | None = None
     started_at: float = 0.0
-    life: int = 0
+    born: int = 0
     sequence: int = 0
     draining: bool = False
     starting: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -209,7 +211,8 @@
                 tells_shed=True,
             )
         vm.endpoint.start(cold_until=0.0)
-        vm.life += 1
+        # Never the same twice, however soon an endpoint is back.
+        vm.born = max(vm.born + 1, round(time.time() * MILLISECONDS))
         vm.sequence = 0
         vm.draining = False
         vm.listener = await asyncio.start_server(
@@ -249,20 +252,21 @@
                 "state": "draining" if draining else "ready",
                 "warmup-remaining-ms": 0,
                 "sequence": vm.sequence,
+                "born": vm.born,
             }
-            path = f"/cornelspan/Instances.Heartbeat/{self.life_of(vm)}"
+            path = f"/cornelspan/Instances.Heartbeat/{self.name_of(vm)}"
             code = await self._call(vm, path, msgspec.json.encode(body))
             if draining and code == 200:
                 self.on_leaving(vm)
 
     async def say_leave(self, vm: Vm) -> None:
         """Say for an endpoint that it goes now."""
-        path = f"/cornelspan/Instances.Leave/{self.life_of(vm)}"
-        await self._call(vm, path, b"{}")
+        path = f"/cornelspan/Instances.Leave/{self.name_of(vm)}"
+        await self._call(vm, path, msgspec.json.encode({"born": vm.born}))
 
-    def life_of(self, vm: Vm) -> str:
-        """Return the id of an endpoint's present life."""
-        return f"i-{vm.address}-{vm.life}"
+    def name_of(self, vm: Vm) -> str:
+        """Return the name of a VM's endpoint, the same in all of its lives."""
+        return f"i-{vm.address}"
 
     async def _call(self, vm: Vm, path: str, body: bytes) -> int:
         url = f"http://{vm.address}:{self.port('reports')}{path}"
--- a/tests/test_paused_relay.py
+++ b/tests/test_paused_relay.py
@@ -96,6 +96,42 @@
             await fleet.stop()
 
 
+class NeverCleared(dict):
+    """The epochs that a relay holds, when its loop has not seen that it lost them."""
+
+    def __delitem__(self, datacentre):
+        pass
+
+
+async def test_a_primary_that_was_one_unseen_leaves_no_epoch_behind(base_port):
+    # Two relays start together and both begin with the first epoch. The one that ranks
+    # first is the primary for less than a turn of the other's loop, then it is gone
+    # without a word. Had it only been paused, it would wake and speak under its epoch:
+    # the other must judge on under a later one, or members would believe both.
+    store_at = Address(host="127.0.0.1", port=base_port)
+    names = ["entry-0", "entry-1"]
+    primary = primary_of(names)
+    (other,) = set(names) - {primary}
+    async with object_store(store_at, rates=Rates(1e5, 1e5)):
+        fleet = Fleet(store_at, base_port + 10)
+        try:
+            for name in names:
+                await fleet.start(name)
+            await fleet.start("hub-0", service="order-hub")
+            await until(lambda: heads(fleet) == {primary})
+            await until(lambda: fleet.nodes[primary].control.judge.held)
+            control = fleet.nodes[other].control
+            epoch = control.plane.epoch
+            control.judge.held = NeverCleared({"chuo-hall": epoch})
+            await fleet.kill(primary)
+            await until(lambda: primary not in known_names(fleet), seconds=20)
+            await until(lambda: control.plane.epoch > epoch)
+            hub = fleet.nodes["hub-0"].control.plane
+            await until(lambda: hub.epoch == control.plane.epoch)
+        finally:
+            await fleet.stop()
+
+
 def heads(fleet):
     return {"".join(node.control.plane.relays()[:1]) for node in fleet.nodes.values()}
 
