--- a/tests/test_passthrough_early.py
+++ b/tests/test_passthrough_early.py
@@ -36,24 +36,36 @@
         sender.sendto(data, address)
 
 
-def test_packets_are_served_while_a_module_is_imported(slow_module, base_port):
-    """A client's packet is answered though its agent is still starting.
+def serve_packets(slow_module, address, packets, received=lambda data: None):
+    """Send packets to a daemon that starts; return what it got, and the module.
 
-    The module waits until the packet has been handed on; served only afterwards, it
-    would never come to an end.
+    The import of the module goes on when all have been handed on.
     """
     name, may_go_on = slow_module
-    address = ("127.0.0.1", base_port)
     seen = []
     with datagram_socket(address) as opened:
 
-        def received(data, sender):
+        def take(data, sender):
             seen.append(data)
-            may_go_on.set()
+            if len(seen) == len(packets):
+                may_go_on.set()
+            received(data)
 
-        opened.received = received
-        send(address, b"packet")
+        opened.received = take
+        for packet in packets:
+            send(address, packet)
         module = import_while_serving(name, [opened], lambda now: None)
+    return seen, module
+
+
+def test_packets_are_served_while_a_module_is_imported(slow_module, base_port):
+    """A client's packet is answered though its agent is still starting.
+
+    The module waits until the packet has been handed on; served only afterwards, it
+    would never come to an end.
+    """
+    address = ("127.0.0.1", base_port)
+    seen, module = serve_packets(slow_module, address, [b"packet"])
     assert seen == [b"packet"]
     assert module.value == 7
 
@@ -61,22 +73,13 @@
 def test_a_packet_that_raises_stops_neither_serving_nor_the_import(
     slow_module, base_port
 ):
-    name, may_go_on = slow_module
-    address = ("127.0.0.1", base_port)
-    seen = []
-    with datagram_socket(address) as opened:
-
-        def received(data, sender):
-            seen.append(data)
-            if len(seen) == 2:
-                may_go_on.set()
-            raise ValueError("odd")
+    def fail(data):
+        raise ValueError("odd")
 
-        opened.received = received
-        send(address, b"one")
-        send(address, b"two")
-        import_while_serving(name, [opened], lambda now: None)
+    address = ("127.0.0.1", base_port)
+    seen, module = serve_packets(slow_module, address, [b"one", b"two"], fail)
     assert seen == [b"one", b"two"]
+    assert module.value == 7
 
 
 def test_time_passes_while_a_module_is_imported(slow_module):
