--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -300,7 +301,7 @@
         record.add("case", trouble=with_trouble, seed=seed)
         try:
             code = asyncio.run(_run(case, record, seed, with_trouble))
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             record.add("could not run", reason=repr(error))
             code = NOT_RUN
         record.add("exit", code=code)
@@ -309,6 +310,10 @@
 
 
 async def _run(case: Case, record: Record, seed: int, with_trouble: bool) -> int:
+    # Asked to stop, the run still ends the processes that it started.
+    this_task = asyncio.current_task()
+    if this_task is not None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
     async with asyncio.timeout(RUN_SECONDS), deployment(record, seed) as made:
         await case(made, with_trouble)
         forged = sum(each.forged for each in made.endpoints.values())
