review: case 5, quick changes of a large configuration leave all balancers behind

A watch that is answered with more than 4 MB is given up and repeated from the same revision until the store has dropped its history, so no accepted change is in force meanwhile.

--- a/review/lab2/clients.py
+++ b/review/lab2/clients.py
@@ -56,6 +56,7 @@
 
     port: int
     seq: int
+    route: tuple[str, int]
     ack: int = 0
     state: str = "opening"
     answer: asyncio.Event = field(default_factory=asyncio.Event)
@@ -93,12 +94,12 @@
         """Close the socket."""
         self.transport.close()
 
-    async def open_flow(self) -> ClientFlow:
+    async def open_flow(self, route: tuple[str, int] | None = None) -> ClientFlow:
         """Open a flow from a new port; its state tells whether it opened."""
         self.next_port += 1
-        flow = ClientFlow(self.next_port, random.getrandbits(32))
+        flow = ClientFlow(self.next_port, random.getrandbits(32), route or self.route)
         self.flows[flow.port] = flow
-        self.record.note(f"client opens flow {flow.port}")
+        self.record.note(f"client opens flow {flow.port} to {flow.route[0]}")
         first = flow.seq
         for copy, wait in enumerate(COPIES_SECONDS):
             self._send(flow, SYN, first, copy)
@@ -199,8 +200,8 @@
     def _send(
         self, flow: ClientFlow, flags: int, seq: int, ack: int, data: bytes = b""
     ) -> None:
-        packet = Packet(self.address, flow.port, *self.route, flags, seq, ack, data)
-        balancer = self.routers.route(f"{self.address}:{flow.port}>{self.route}")
+        packet = Packet(self.address, flow.port, *flow.route, flags, seq, ack, data)
+        balancer = self.routers.route(f"{self.address}:{flow.port}>{flow.route}")
         self.transport.sendto(wire.encode(packet), (balancer, self.packets_port))
 
 
--- a/review/lab2/deployment.py
+++ b/review/lab2/deployment.py
@@ -50,7 +50,10 @@
 
 @dataclass
 class Deployment:
-    """All machines by name, and the stand-ins around them."""
+    """All machines by name, and the stand-ins around them.
+
+    While ``turns_balancers_away`` is set the store answers balancers with 503.
+    """
 
     folder: Path
     record: Record
@@ -59,6 +62,7 @@
     roles: dict[str, dict[str, Any]]
     store: Store = field(default_factory=Store)
     machines: dict[str, Machine] = field(default_factory=dict)
+    turns_balancers_away: bool = False
 
     def __post_init__(self) -> None:
         self.routers = Routers({})
@@ -163,6 +167,18 @@
         """Return what a machine's daemon has logged."""
         return (self.folder / f"{machine.name}.log").read_text()
 
+    def _store_address(self, role: str) -> str:
+        """Return the store's address; one for each role, so that it can tell them."""
+        part = 1 if role == "balancer" else 2
+        return f"{self.network}.7.{part}:{self.ports['store']}"
+
+    async def _answer_balancers(self, call: web.Call) -> web.Answer:
+        """Answer a balancer's call to the store, or turn it away."""
+        if self.turns_balancers_away:
+            return 503, b"{}"
+        answer = await self.store.answer(call)
+        return (503, b"{}") if self.turns_balancers_away else answer
+
     def _fields(self, machine: Machine) -> dict[str, Any]:
         """Return the fields that the platform fills into templates."""
         listens = {
@@ -185,7 +201,7 @@
             ][:3],
             "heartbeat-interval-ms": REPORT_MILLISECONDS,
             "bounds": {"max-flow-s": 60, "grace-period-s": GRACE_SECONDS},
-            "platform": {"address": f"{self.network}.7.1:{self.ports['store']}"},
+            "platform": {"address": self._store_address(machine.role)},
             "listen-addresses": listens,
         }
         if machine.role == "agent":
@@ -218,10 +234,20 @@
     return re.sub(r"\{\{([\w.-]+)\|json\}\}", value, text)
 
 
-def _configuration(network: str) -> dict[str, Any]:
-    route = {
-        "name": "orders-443",
-        "hostname": f"{network}.8.1",
+def configuration(
+    network: str, *, version: int = 3, routes: int = 1, hosts: tuple[int, ...] = (1,)
+) -> dict[str, Any]:
+    """Return a configuration.
+
+    Args:
+        network: The part of the loopback network.
+        version: Its version.
+        routes: How many further routes, without traffic, follow those of ``hosts``.
+        hosts: Last numbers of the addresses of routes that clients use.
+    """
+    addresses = [f"{network}.8.{each}" for each in hosts]
+    idle = [f"{network}.{100 + at // 200}.{at % 200 + 1}" for at in range(routes)]
+    common = {
         "path-prefix": f"/{ROUTE_PORT}/",
         "service": SERVICE,
         "kind": "non_idempotent",
@@ -232,8 +258,11 @@
     }
     service = {"health-check-path": "/health", "max-connections": 2000}
     return {
-        "version": 3,
-        "routes": [route],
+        "version": version,
+        "routes": [
+            {"name": f"route-{address}", "hostname": address, **common}
+            for address in addresses + idle
+        ],
         "services": [{"name": SERVICE, **service}],
         "limits": {"idle-timeout-ms": 60_000},
     }
@@ -271,9 +300,11 @@
     roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
     with TemporaryDirectory() as folder:
         fleet = Deployment(Path(folder), record, network, ports, roles)
-        fleet.store.put_spec("config", "main", _configuration(network))
-        address = (f"{network}.7.1", ports["store"])
-        server = await web.serve(address, fleet.store.answer)
+        fleet.store.put_spec("config", "main", configuration(network))
+        servers = [
+            await web.serve((f"{network}.7.{part}", ports["store"]), answer)
+            for part, answer in ((1, fleet._answer_balancers), (2, fleet.store.answer))
+        ]
         await fleet.clients.open()
         probing = asyncio.create_task(fleet.routers.probe_forever())
         try:
@@ -299,7 +330,8 @@
                     with contextlib.suppress(AttributeError):
                         await machine.endpoint.close()
             fleet.clients.close()
-            server.close()
+            for server in servers:
+                server.close()
 
 
 async def _end(machine: Machine) -> None:
--- a/review/lab2/store.py
+++ b/review/lab2/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -9,17 +10,22 @@
 
 PREFIX = "/cornelspan/objects/"
 MAX_WAIT_SECONDS = 30.0
+HISTORY_SECONDS = 20.0
 
 StoredObject = dict[str, Any]
 
 
 @dataclass
 class Store:
-    """All objects by kind and name, and every change since the start."""
+    """All objects by kind and name, and the changes of the last seconds.
+
+    ``forgotten`` is the revision of the newest change that is no longer kept.
+    """
 
     revision: int = 100
+    forgotten: int = 0
     kinds: dict[str, dict[str, StoredObject]] = field(default_factory=dict)
-    events: list[tuple[int, str, dict[str, Any]]] = field(default_factory=list)
+    events: list[tuple[float, int, str, dict[str, Any]]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def answer(self, call: web.Call) -> web.Answer:
@@ -65,8 +71,13 @@
         wait = min(MAX_WAIT_SECONDS, int(query.get("wait-ms", "0")) / 1000)
         deadline = asyncio.get_running_loop().time() + wait
         while True:
+            self._forget()
+            if after < self.forgotten:
+                return 410, b"{}"
             found = [
-                event for at, of, event in self.events if at > after and of == kind
+                event
+                for _, revision, of, event in self.events
+                if revision > after and of == kind
             ]
             left = deadline - asyncio.get_running_loop().time()
             if found or left <= 0:
@@ -79,6 +90,12 @@
                 continue
         return 200, _encoded({"events": found, "current-rev": self.revision})
 
+    def _forget(self) -> None:
+        """Drop the history that is older than ``HISTORY_SECONDS``."""
+        earliest = time.monotonic() - HISTORY_SECONDS
+        while self.events and self.events[0][0] < earliest:
+            self.forgotten = self.events.pop(0)[1]
+
     def _create(self, kind: str, body: dict[str, Any]) -> web.Answer:
         name = body["meta"]["name"]
         objects = self.kinds.setdefault(kind, {})
@@ -116,7 +133,8 @@
         self.revision += 1
         changed["meta"]["revision"] = self.revision
         copy = json.loads(json.dumps(changed))
-        self.events.append((self.revision, kind, {"object": copy, "deleted": deleted}))
+        event = {"object": copy, "deleted": deleted}
+        self.events.append((time.monotonic(), self.revision, kind, event))
         self.changed.set()
         self.changed = asyncio.Event()
         return 200, _encoded(changed)
