--- a/review/lab2/deployment.py
+++ b/review/lab2/deployment.py
@@ -52,7 +52,8 @@
 class Deployment:
     """All machines by name, and the stand-ins around them.
 
-    While ``turns_balancers_away`` is set the store answers balancers with 503.
+    While ``turns_balancers_away`` is set the store answers balancers with 503. When
+    ``silences`` grows, all channels to the store that are open go silent for good.
     """
 
     folder: Path
@@ -63,6 +64,8 @@
     store: Store = field(default_factory=Store)
     machines: dict[str, Machine] = field(default_factory=dict)
     turns_balancers_away: bool = False
+    silences: int = 0
+    never: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         self.routers = Routers({})
@@ -154,6 +157,23 @@
         await asyncio.sleep(RESTART_SECONDS)
         self.start_daemon(machine)
 
+    def write(self, version: int, hosts: tuple[int, ...], idle_routes: int) -> None:
+        """Write a configuration as the operator does; the store acknowledges it."""
+        spec = configuration(
+            self.network, version=version, routes=idle_routes, hosts=hosts
+        )
+        self.store.put_spec("config", "main", spec)
+        self.record.note(f"operator: version {version} acknowledged, routes {hosts}")
+
+    async def serves(self, host: int) -> bool:
+        """Open a flow to a route and send a request; return whether it was answered."""
+        flow = await self.clients.open_flow((f"{self.network}.8.{host}", ROUTE_PORT))
+        if flow.state != "open":
+            return False
+        answered = await self.clients.request(flow, 1)
+        self.clients.close_flow(flow)
+        return answered
+
     async def ready(self, seconds: float = 20.0) -> bool:
         """Wait until all balancers are in rotation; return whether they are."""
         for _ in range(round(seconds / 0.1)):
@@ -172,11 +192,19 @@
         part = 1 if role == "balancer" else 2
         return f"{self.network}.7.{part}:{self.ports['store']}"
 
+    async def _answer_store_call(self, call: web.Call) -> web.Answer:
+        """Answer a call to the store, but never on a channel that has gone silent."""
+        silences = self.silences
+        answer = await self.store.answer(call)
+        if self.silences != silences:
+            await self.never.wait()
+        return answer
+
     async def _answer_balancers(self, call: web.Call) -> web.Answer:
         """Answer a balancer's call to the store, or turn it away."""
         if self.turns_balancers_away:
             return 503, b"{}"
-        answer = await self.store.answer(call)
+        answer = await self._answer_store_call(call)
         return (503, b"{}") if self.turns_balancers_away else answer
 
     def _fields(self, machine: Machine) -> dict[str, Any]:
@@ -303,7 +331,10 @@
         fleet.store.put_spec("config", "main", configuration(network))
         servers = [
             await web.serve((f"{network}.7.{part}", ports["store"]), answer)
-            for part, answer in ((1, fleet._answer_balancers), (2, fleet.store.answer))
+            for part, answer in (
+                (1, fleet._answer_balancers),
+                (2, fleet._answer_store_call),
+            )
         ]
         await fleet.clients.open()
         probing = asyncio.create_task(fleet.routers.probe_forever())
